--- /dev/null
+++ b/src/libcatalogue/include/medlarstall/catalogue/catalogue_reader.hpp
@@ -0,0 +1,23 @@
+#ifndef MEDLARSTALL_CATALOGUE_CATALOGUE_READER_HPP
+#define MEDLARSTALL_CATALOGUE_CATALOGUE_READER_HPP
+
+#include <medlarstall/catalogue/catalogue.hpp>
+#include <medlarstall/support/result.hpp>
+
+#include <string_view>
+
+namespace medlarstall::catalogue {
+
+/// Reads a whole catalogue from its JSON form (docs/CATALOGUE.md).
+class catalogue_reader
+{
+public:
+    /// \param text JSON text
+    /// \return the catalogue with every entry at revision 1, or an error with
+    ///     the path of the value, the value and what is allowed
+    [[nodiscard]] result<catalogue> read(std::string_view text) const;
+};
+
+} // namespace medlarstall::catalogue
+
+#endif
--- /dev/null
+++ b/src/libcatalogue/include/medlarstall/catalogue/entries.hpp
@@ -0,0 +1,121 @@
+#ifndef MEDLARSTALL_CATALOGUE_ENTRIES_HPP
+#define MEDLARSTALL_CATALOGUE_ENTRIES_HPP
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace medlarstall::catalogue {
+
+/// Counts the accepted changes of one entry; 0 means that it does not exist.
+using revision = std::uint64_t;
+
+/// Latency that a class promises to 95 in 100 of its requests.
+struct latency_targets
+{
+    std::chrono::milliseconds first_token{1800};
+    std::chrono::milliseconds between_tokens{63};
+};
+
+/// A class of service. Tier 0 is the most important.
+struct service_class
+{
+    std::string name;
+    std::string owner;
+    unsigned tier = 0;
+    latency_targets targets;
+    std::chrono::milliseconds deadline{60'000}; ///< Longest wait for a slot.
+    double floor = 0.0; ///< Least part of freed slots, from 0 to 1.
+};
+
+/// Limits of an organisation; an absent limit is unlimited.
+struct organisation_limits
+{
+    std::optional<double> requests_per_second;
+    std::optional<double> tokens_per_second;
+    std::optional<unsigned> concurrency; ///< Requests running at once.
+};
+
+/// A member of the consortium.
+struct organisation
+{
+    std::string name;
+    std::string owner;
+    double share = 1.0; ///< Weight of its entitlement against the others.
+    organisation_limits limits;
+    std::vector<std::string> classes;     ///< Classes that it may use.
+    std::vector<std::string> key_digests; ///< SHA-256 of its keys, in hex.
+};
+
+/// What kind of backend servers a group holds.
+enum class group_kind
+{
+    engine,
+    service
+};
+
+/// A backend server that the catalogue itself names, for use without an
+/// instance list.
+struct static_backend_server
+{
+    std::string id;
+    std::string address; ///< IP number.
+    std::uint16_t port = 0;
+    std::string data_centre;
+};
+
+/// Backend servers that serve the same models or services.
+struct backend_server_group
+{
+    std::string name;
+    std::string owner;
+    group_kind kind = group_kind::engine;
+    unsigned slots = 8; ///< Most requests running at once on a server.
+    bool checks_fencing = true;
+    std::vector<static_backend_server> backend_servers;
+};
+
+/// A model, served by a group of engines.
+struct model
+{
+    std::string name;
+    std::string owner;
+    std::string version;
+    std::vector<std::string> adapters;
+    std::string group;
+    unsigned replicas = 0; ///< Backend servers to load it on; 0: all.
+};
+
+/// An operation of a plain service, chosen by method and path prefix.
+struct service_operation
+{
+    std::string method; ///< "*" stands for any.
+    std::string path_prefix;
+    bool repeatable = true;
+};
+
+/// A plain service, served by a group.
+struct service
+{
+    std::string name;
+    std::string owner;
+    std::string group;
+    bool repeatable = false; ///< For what no operation names.
+    std::vector<service_operation> operations;
+    std::chrono::milliseconds deadline{10'000};
+};
+
+/// A key that may publish changes and use the administration interface.
+struct operator_key
+{
+    std::string name;
+    std::string owner;
+    std::string key_digest;  ///< SHA-256 of the key, in hex.
+    bool consortium = false; ///< May change entries of every owner.
+};
+
+} // namespace medlarstall::catalogue
+
+#endif
--- /dev/null
+++ b/src/libscheduling/include/medlarstall/scheduling/request.hpp
@@ -0,0 +1,37 @@
+#ifndef MEDLARSTALL_SCHEDULING_REQUEST_HPP
+#define MEDLARSTALL_SCHEDULING_REQUEST_HPP
+
+#include <medlarstall/catalogue/entries.hpp>
+#include <medlarstall/support/time.hpp>
+
+#include <cstdint>
+#include <string>
+
+namespace medlarstall::scheduling {
+
+/// Identifies a request at its owner; unique while the owner lives.
+using request_id = std::uint64_t;
+
+/// What the owner of a backend server knows of a request. Plain data.
+struct request
+{
+    request_id id = 0;
+    std::string organisation;
+    std::string service_class;
+    unsigned tier = 0; ///< 0 is the most important.
+    std::string group; ///< Backend server group that can run it.
+    std::string model; ///< Empty for a plain service.
+    std::string preferred_backend_server; ///< Chosen for its cache, or empty.
+    std::uint32_t prompt_tokens = 0;
+    std::uint32_t expected_output_tokens = 0; ///< Estimate; 0 if unknown.
+    time_point arrived;                       ///< At the entry daemon.
+    time_point deadline;                      ///< Latest useful start.
+    catalogue::latency_targets targets;
+    bool repeatable = true; ///< May be run again after a failure.
+    bool resumable = true;  ///< May be preempted and continued later.
+    bool isolated = false;  ///< Suspected of crashing; runs without suspects.
+};
+
+} // namespace medlarstall::scheduling
+
+#endif
