Follow the catalogue's log

Cause: nothing decided changes or kept a version. A revision is one more than the offset of its change, so that an entry that was deleted and made again cannot be mistaken for the earlier one.

--- /dev/null
+++ b/src/libcatalogue/src/checkpoint.cpp
@@ -0,0 +1,156 @@
+#include <medlarstall/catalogue/checkpoint.hpp>
+
+#include "object_reader.hpp"
+
+#include <medlarstall/catalogue/catalogue_reader.hpp>
+#include <medlarstall/catalogue/catalogue_writer.hpp>
+#include <medlarstall/catalogue/json_text.hpp>
+#include <medlarstall/catalogue/limits.hpp>
+#include <medlarstall/support/digest.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace medlarstall::catalogue {
+
+namespace {
+
+using nlohmann::json;
+
+json past_to_json(catalogue_state const& state)
+{
+    json items = json::array();
+    for (auto const& earlier : state.past) {
+        items.push_back({{"id", earlier.id},
+                         {"offset", earlier.offset},
+                         {"accepted", earlier.accepted},
+                         {"deleted", earlier.deleted}});
+    }
+    return items;
+}
+
+past_change read_past(json const& item, std::string const& path,
+                      std::optional<error>& failure)
+{
+    object_reader reader{item, path, failure};
+    past_change earlier;
+    reader.require("id");
+    reader.read("id", earlier.id, text_form::free);
+    reader.read("offset", earlier.offset);
+    reader.read("accepted", earlier.accepted);
+    reader.read("deleted", earlier.deleted, text_form::free, max_edits);
+    reader.finish();
+    return earlier;
+}
+
+bool read_revision(json const& item, revision& at, std::string& changed_by)
+{
+    if (!item.is_array() || item.size() != 2 || !item[0].is_number_unsigned() ||
+        !item[1].is_string()) {
+        return false;
+    }
+    at = item[0].get<revision>();
+    changed_by = item[1].get<std::string>();
+    return true;
+}
+
+/// Sets the revision of each entry; the names must be the same.
+std::optional<error> read_revisions(json const& document, catalogue& entries)
+{
+    std::optional<error> failure;
+    object_reader reader{document, "$.revisions", failure};
+    visit_tables(entries, [&](entry_kind kind, auto& table) {
+        auto const* object = reader.field(table_name(kind));
+        auto const path = reader.path_of(table_name(kind));
+        if (object == nullptr || !object->is_object() ||
+            object->size() != table.size()) {
+            reader.fail(path, "must name each entry of the catalogue");
+            return;
+        }
+        for (auto& [name, entry] : table) {
+            auto const found = object->find(name);
+            if (found == object->end() ||
+                !read_revision(*found, entry.at, entry.changed_by)) {
+                reader.fail(path + "." + name, "must be [revision, change id]");
+            }
+        }
+    });
+    reader.finish();
+    return failure;
+}
+
+} // namespace
+
+std::string write_checkpoint(checkpoint const& value)
+{
+    catalogue_writer const writer;
+    json const document{{"offset", value.version.offset},
+                        {"chain", value.version.chain},
+                        {"history", value.history},
+                        {"past", past_to_json(value.state)},
+                        {"catalogue", writer.to_json(value.state.entries)},
+                        {"revisions", writer.revisions(value.state.entries)}};
+    return canonical_text(document);
+}
+
+result<checkpoint> read_checkpoint(std::string_view text)
+{
+    auto const document = parse_json(text, {.bytes = 64U << 20U});
+    if (failed(document)) {
+        return error_of(document);
+    }
+    std::optional<error> failure;
+    object_reader reader{value_of(document), "$", failure};
+    for (auto const* key :
+         {"offset", "chain", "history", "past", "catalogue", "revisions"}) {
+        reader.require(key);
+    }
+    checkpoint value;
+    std::vector<std::string> history;
+    reader.read("offset", value.version.offset);
+    reader.read("chain", value.version.chain, text_form::sha256_hex);
+    reader.read("history", history, text_form::sha256_hex, remembered_chain);
+    value.history.assign(history.begin(), history.end());
+    reader.each("past", remembered_changes,
+                [&](json const& item, std::string const& path) {
+                    value.state.past.push_back(read_past(item, path, failure));
+                });
+    auto const* entries = reader.field("catalogue");
+    auto const* revisions = reader.field("revisions");
+    reader.finish();
+    if (failure) {
+        return *failure;
+    }
+    auto catalogue = catalogue_reader{}.read_json(*entries);
+    if (failed(catalogue)) {
+        return error_of(catalogue);
+    }
+    value.state.entries = std::move(value_of(catalogue));
+    failure = read_revisions(*revisions, value.state.entries);
+    if (failure) {
+        return *failure;
+    }
+    return value;
+}
+
+std::vector<checkpoint_part> split_checkpoint(checkpoint const& value,
+                                              std::size_t part_bytes)
+{
+    auto const payload = write_checkpoint(value);
+    auto const digest = sha256_hex(payload);
+    auto const least = payload.size() / max_checkpoint_parts + 1;
+    auto const bytes = std::max(part_bytes, least);
+    auto const parts =
+        static_cast<unsigned>((payload.size() + bytes - 1) / bytes);
+    std::vector<checkpoint_part> pieces;
+    for (unsigned part = 0; part < parts; ++part) {
+        pieces.push_back({.prefix = value.version.offset,
+                          .part = part,
+                          .parts = parts,
+                          .payload_digest = digest,
+                          .payload = payload.substr(part * bytes, bytes)});
+    }
+    return pieces;
+}
+
+} // namespace medlarstall::catalogue
--- /dev/null
+++ b/src/libcatalogue/src/log_record.cpp
@@ -0,0 +1,40 @@
+#include <medlarstall/catalogue/log_record.hpp>
+
+#include "object_reader.hpp"
+
+namespace medlarstall::catalogue {
+
+using nlohmann::json;
+
+json to_json(relayed_record const& record)
+{
+    return {{"offset", record.offset},
+            {"written_ms", record.written.time_since_epoch().count()},
+            {"digest", record.digest},
+            {"value", record.value}};
+}
+
+result<relayed_record> parse_relayed_record(json const& object)
+{
+    std::optional<error> failure;
+    object_reader reader{object, "$", failure};
+    relayed_record record;
+    std::uint64_t written = 0;
+    reader.require("offset");
+    reader.require("digest");
+    reader.read("offset", record.offset);
+    reader.read("written_ms", written);
+    reader.read("digest", record.digest, text_form::sha256_hex);
+    if (auto const* value = reader.field("value")) {
+        record.value = *value;
+    }
+    reader.finish();
+    if (failure) {
+        return *failure;
+    }
+    record.written = wall_time{
+        std::chrono::milliseconds{static_cast<std::int64_t>(written)}};
+    return record;
+}
+
+} // namespace medlarstall::catalogue
