--- /dev/null
+++ b/src/libentry/include/medlarstall/entry/http_front.hpp
@@ -0,0 +1,67 @@
+#ifndef MEDLARSTALL_ENTRY_HTTP_FRONT_HPP
+#define MEDLARSTALL_ENTRY_HTTP_FRONT_HPP
+
+#include <medlarstall/support/result.hpp>
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace asio {
+class io_context;
+}
+
+namespace medlarstall::entry {
+
+class exchange;
+
+/// Bounds on what callers may send, and the address to listen on.
+struct http_front_settings
+{
+    std::string address = "127.0.0.1";
+    std::uint16_t port = 0; ///< 0 picks a free port.
+    std::size_t max_connections = 20'000;
+    std::size_t max_field_bytes = 16 * 1024; ///< One header field.
+    std::size_t max_fields = 64;
+    std::size_t max_target_bytes = 8 * 1024;
+    std::size_t max_body_bytes = std::size_t{4} * 1024 * 1024;
+    std::chrono::milliseconds request_read_timeout{15'000};
+    std::chrono::milliseconds write_timeout{30'000};
+};
+
+/// The HTTP/1.1 server that callers, members and operators connect to.
+class http_front
+{
+public:
+    using handler = std::function<void(std::shared_ptr<exchange>)>;
+
+    /// \param io context that runs the server, on one thread
+    /// \param settings bounds and address
+    /// \param on_request called for each request
+    http_front(asio::io_context& io, http_front_settings settings,
+               handler on_request);
+    ~http_front();
+    http_front(http_front const&) = delete;
+    http_front& operator=(http_front const&) = delete;
+
+    /// Starts to listen.
+    /// \return the bound port, or why it could not be bound
+    [[nodiscard]] result<std::uint16_t> listen();
+
+    /// From now on every answer closes its connection.
+    void close_connections_after_answers();
+
+    /// \return exchanges whose answer has not ended
+    [[nodiscard]] std::size_t open_exchanges() const;
+
+private:
+    struct implementation;
+    std::unique_ptr<implementation> implementation_;
+};
+
+} // namespace medlarstall::entry
+
+#endif
--- /dev/null
+++ b/src/libentry/src/http_front.cpp
@@ -0,0 +1,331 @@
+#include <medlarstall/entry/http_front.hpp>
+
+#include "transport.hpp"
+
+#include <restinio/all.hpp>
+
+#include <netinet/tcp.h>
+
+#include <unordered_map>
+
+namespace medlarstall::entry {
+
+namespace {
+
+/// A caller that acknowledges nothing for this long is gone.
+constexpr int user_timeout_ms = 10'000;
+
+/// Requests read ahead on a connection. More than one, so that the library
+/// keeps reading and notices a caller that leaves while it waits.
+constexpr std::size_t read_ahead = 2;
+
+/// Bodies up to this multiple of the limit get an answer; larger ones are
+/// cut off by the library.
+constexpr std::size_t body_cutoff_factor = 4;
+
+class closed_connections
+{
+public:
+    explicit closed_connections(
+        std::function<void(restinio::connection_id_t)> on_closed)
+        : on_closed_{std::move(on_closed)}
+    {}
+
+    void state_changed(restinio::connection_state::notice_t const& notice)
+    {
+        using restinio::connection_state::closed_t;
+        if (std::holds_alternative<closed_t>(notice.cause())) {
+            on_closed_(notice.connection_id());
+        }
+    }
+
+private:
+    std::function<void(restinio::connection_id_t)> on_closed_;
+};
+
+struct server_traits : restinio::default_single_thread_traits_t
+{
+    using request_handler_t = std::function<restinio::request_handling_status_t(
+        restinio::request_handle_t)>;
+    using connection_state_listener_t = closed_connections;
+    static constexpr bool use_connection_count_limiter = true;
+};
+
+using server = restinio::http_server_t<server_traits>;
+using chunked_builder =
+    restinio::response_builder_t<restinio::chunked_output_t>;
+
+http_request to_request(restinio::request_t const& source)
+{
+    http_request request;
+    auto const& header = source.header();
+    request.method = header.method().c_str();
+    request.path = std::string{header.path()};
+    request.query = std::string{header.query()};
+    request.body = source.body();
+    request.remote_address = source.remote_endpoint().address().to_string();
+    header.for_each_field([&request](auto const& field) {
+        request.fields.emplace_back(field.name(), field.value());
+    });
+    return request;
+}
+
+template<class Builder>
+void add_fields(Builder& builder, header_fields const& fields)
+{
+    for (auto const& [name, value] : fields) {
+        builder.append_header(name, value);
+    }
+}
+
+template<class Builder>
+void set_keep_alive(Builder& builder, bool keep_alive)
+{
+    if (keep_alive) {
+        builder.connection_keep_alive();
+    } else {
+        builder.connection_close();
+    }
+}
+
+restinio::http_status_line_t status_line(int status)
+{
+    static std::unordered_map<int, char const*> const reasons{
+        {200, "OK"},
+        {202, "Accepted"},
+        {204, "No Content"},
+        {400, "Bad Request"},
+        {401, "Unauthorized"},
+        {403, "Forbidden"},
+        {404, "Not Found"},
+        {405, "Method Not Allowed"},
+        {409, "Conflict"},
+        {413, "Payload Too Large"},
+        {422, "Unprocessable Entity"},
+        {429, "Too Many Requests"},
+        {500, "Internal Server Error"},
+        {502, "Bad Gateway"},
+        {503, "Service Unavailable"},
+        {504, "Gateway Timeout"}};
+    auto const found = reasons.find(status);
+    return {restinio::http_status_code_t{static_cast<std::uint16_t>(status)},
+            found == reasons.end() ? "Status" : found->second};
+}
+
+} // namespace
+
+struct http_front::implementation
+{
+    implementation(asio::io_context& io, http_front_settings settings,
+                   handler on_request);
+
+    restinio::request_handling_status_t
+    handle(restinio::request_handle_t const& source);
+    void closed(restinio::connection_id_t id);
+    std::unique_ptr<exchange::transport>
+    make_transport(restinio::request_handle_t const& source);
+
+    using connection_exchanges = std::vector<std::weak_ptr<exchange>>;
+
+    asio::io_context& io_;
+    http_front_settings settings_;
+    handler on_request_;
+    bool closing_ = false;
+    std::uint16_t bound_port_ = 0;
+    std::unordered_map<restinio::connection_id_t, connection_exchanges>
+        exchanges_;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+    std::unique_ptr<server> server_;
+};
+
+http_front::implementation::implementation(asio::io_context& io,
+                                           http_front_settings settings,
+                                           handler on_request)
+    : io_{io}, settings_{std::move(settings)},
+      on_request_{std::move(on_request)}
+{}
+
+void http_front::implementation::closed(restinio::connection_id_t id)
+{
+    auto const node = exchanges_.extract(id);
+    if (node.empty()) {
+        return;
+    }
+    for (auto const& weak : node.mapped()) {
+        if (auto const open = weak.lock()) {
+            open->connection_closed();
+        }
+    }
+}
+
+std::unique_ptr<exchange::transport> http_front::implementation::make_transport(
+    restinio::request_handle_t const& source)
+{
+    auto made = std::make_unique<exchange::transport>();
+    auto const builder = std::make_shared<std::optional<chunked_builder>>();
+    auto const request = std::make_shared<restinio::request_handle_t>(source);
+    auto const keep = [this, alive = std::weak_ptr{alive_},
+                       keep_alive = source->header().should_keep_alive()] {
+        return keep_alive && !alive.expired() && !closing_;
+    };
+    made->send_whole = [request, keep](http_response answer) {
+        auto whole = (*request)->create_response(status_line(answer.status));
+        request->reset();
+        add_fields(whole, answer.fields);
+        set_keep_alive(whole, keep());
+        whole.set_body(std::move(answer.body));
+        whole.done();
+    };
+    made->send_head = [request, builder, keep](int status,
+                                               header_fields const& fields) {
+        builder->emplace(
+            (*request)->create_response<restinio::chunked_output_t>(
+                status_line(status)));
+        request->reset();
+        add_fields(**builder, fields);
+        set_keep_alive(**builder, keep());
+        (*builder)->flush();
+    };
+    made->send_part = [builder](std::string part,
+                                exchange::transport::sent_handler on_sent) {
+        (*builder)->append_chunk(std::move(part));
+        (*builder)->flush([on_sent = std::move(on_sent)](auto const& failure) {
+            on_sent(!failure);
+        });
+    };
+    made->send_end = [builder] {
+        (*builder)->done();
+        builder->reset();
+    };
+    made->abort = [request, builder,
+                   connection = restinio::impl::access_req_connection(*source),
+                   id = source->request_id()] {
+        request->reset();
+        builder->reset();
+        // An empty last part without the closing chunk: the connection closes
+        // and the caller sees that the answer was cut.
+        connection->write_response_parts(
+            id,
+            {restinio::response_parts_attr_t::final_parts,
+             restinio::response_connection_attr_t::connection_close},
+            restinio::write_group_t{restinio::writable_items_container_t{}});
+    };
+    return made;
+}
+
+restinio::request_handling_status_t
+http_front::implementation::handle(restinio::request_handle_t const& source)
+{
+    auto& open = exchanges_[source->connection_id()];
+    std::erase_if(open, [](auto const& weak) { return weak.expired(); });
+    auto made =
+        std::make_shared<exchange>(to_request(*source), make_transport(source));
+    open.push_back(made);
+    if (made->request().body.size() > settings_.max_body_bytes) {
+        made->respond(
+            {.status = 413,
+             .fields = {{"Content-Type", "application/json"},
+                        {"Medlarstall-Run", "not-run"}},
+             .body =
+                 R"({"error":{"code":"body_too_large","message":"body has )" +
+                 std::to_string(made->request().body.size()) +
+                 " bytes; at most " + std::to_string(settings_.max_body_bytes) +
+                 R"( are allowed"}})"});
+        return restinio::request_accepted();
+    }
+    on_request_(std::move(made));
+    return restinio::request_accepted();
+}
+
+http_front::http_front(asio::io_context& io, http_front_settings settings,
+                       handler on_request)
+    : implementation_{std::make_unique<implementation>(io, std::move(settings),
+                                                       std::move(on_request))}
+{}
+
+http_front::~http_front()
+{
+    *implementation_->alive_ = false;
+    implementation_->alive_.reset();
+}
+
+result<std::uint16_t> http_front::listen()
+{
+    auto& self = *implementation_;
+    auto const listener = std::make_shared<closed_connections>(
+        [&self, alive = std::weak_ptr{self.alive_}](auto id) {
+            if (!alive.expired()) {
+                self.closed(id);
+            }
+        });
+    try {
+        self.server_ = std::make_unique<server>(
+            restinio::external_io_context(self.io_), [&](auto& options) {
+                auto const& bounds = self.settings_;
+                options.address(bounds.address)
+                    .port(bounds.port)
+                    .max_parallel_connections(bounds.max_connections)
+                    .max_pipelined_requests(read_ahead)
+                    .read_next_http_message_timelimit(
+                        bounds.request_read_timeout)
+                    .write_http_response_timelimit(bounds.write_timeout)
+                    .handle_request_timeout(std::chrono::hours{24})
+                    .buffer_size(4096)
+                    .separate_accept_and_create_connect(false)
+                    .incoming_http_msg_limits(
+                        restinio::incoming_http_msg_limits_t{}
+                            .max_url_size(bounds.max_target_bytes)
+                            .max_field_name_size(bounds.max_field_bytes)
+                            .max_field_value_size(bounds.max_field_bytes)
+                            .max_field_count(bounds.max_fields)
+                            .max_body_size(bounds.max_body_bytes *
+                                           body_cutoff_factor))
+                    .connection_state_listener(listener)
+                    .acceptor_options_setter([](auto& acceptor) {
+                        acceptor.set_option(
+                            asio::ip::tcp::acceptor::reuse_address(true));
+                    })
+                    .socket_options_setter([](auto& socket) {
+                        using user_timeout =
+                            asio::detail::socket_option::integer<
+                                IPPROTO_TCP, TCP_USER_TIMEOUT>;
+                        socket.set_option(asio::ip::tcp::no_delay(true));
+                        socket.set_option(asio::socket_base::keep_alive(true));
+                        socket.set_option(user_timeout(user_timeout_ms));
+                    })
+                    .acceptor_post_bind_hook([&self](auto& acceptor) {
+                        self.bound_port_ = acceptor.local_endpoint().port();
+                    })
+                    .request_handler([&self, alive = std::weak_ptr{
+                                                 self.alive_}](auto source) {
+                        return alive.expired() ? restinio::request_rejected()
+                                               : self.handle(source);
+                    });
+            });
+        self.server_->open_sync();
+    } catch (std::exception const& failure) {
+        return error{"listen " + self.settings_.address + ":" +
+                         std::to_string(self.settings_.port),
+                     failure.what()};
+    }
+    return self.bound_port_;
+}
+
+void http_front::close_connections_after_answers()
+{
+    implementation_->closing_ = true;
+}
+
+std::size_t http_front::open_exchanges() const
+{
+    std::size_t open = 0;
+    for (auto const& [id, exchanges] : implementation_->exchanges_) {
+        for (auto const& weak : exchanges) {
+            auto const one = weak.lock();
+            open += one && !one->closed() ? 1 : 0;
+        }
+    }
+    return open;
+}
+
+} // namespace medlarstall::entry
