Add streams of messages between daemons over HTTP/2

Cause: an entry daemon hands a request to the owner of a backend server, and daemons tell one another what they know. Change: libpeer, nghttp2 sessions over Asio with CBOR messages, manual flow control, a shared secret, pings with a bound on silence, GOAWAY on shutdown, and a pool that keeps one connection to each daemon. A stream tells whether it never reached the other side, was reset, or was lost. Conclusion: what the entry and owner sides need of a link is there.

--- /dev/null
+++ b/src/libpeer/src/message.cpp
@@ -0,0 +1,79 @@
+#include <medlarstall/peer/message.hpp>
+
+namespace medlarstall::peer {
+
+namespace {
+
+constexpr std::size_t length_bytes = 4;
+
+std::size_t read_length(std::string_view bytes)
+{
+    std::size_t length = 0;
+    for (std::size_t i = 0; i < length_bytes; ++i) {
+        length = (length << 8U) | static_cast<unsigned char>(bytes[i]);
+    }
+    return length;
+}
+
+bool too_deep(message const& content, std::size_t depth)
+{
+    if (depth > max_message_depth) {
+        return true;
+    }
+    if (!content.is_structured()) {
+        return false;
+    }
+    for (auto const& part : content) {
+        if (too_deep(part, depth + 1)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+} // namespace
+
+std::string encode(message const& content)
+{
+    std::string bytes(length_bytes, '\0');
+    message::to_cbor(content, bytes);
+    auto const length = bytes.size() - length_bytes;
+    for (std::size_t i = 0; i < length_bytes; ++i) {
+        bytes[i] = static_cast<char>(length >> (8 * (length_bytes - 1 - i)));
+    }
+    return bytes;
+}
+
+status message_decoder::feed(std::string_view bytes, handler const& on_message)
+{
+    buffer_ += bytes;
+    std::size_t position = 0;
+    while (buffer_.size() - position >= length_bytes) {
+        auto const rest = std::string_view{buffer_}.substr(position);
+        auto const length = read_length(rest);
+        if (length > max_message_bytes) {
+            return error{"message length",
+                         std::to_string(length) + " bytes; at most " +
+                             std::to_string(max_message_bytes)};
+        }
+        if (rest.size() < length_bytes + length) {
+            break;
+        }
+        auto const encoded = rest.substr(length_bytes, length);
+        auto content =
+            message::from_cbor(encoded.begin(), encoded.end(), true, false);
+        if (content.is_discarded()) {
+            return error{"message", "is not CBOR"};
+        }
+        if (too_deep(content, 0)) {
+            return error{"message", "is nested deeper than " +
+                                        std::to_string(max_message_depth)};
+        }
+        position += length_bytes + length;
+        on_message(std::move(content));
+    }
+    buffer_.erase(0, position);
+    return success();
+}
+
+} // namespace medlarstall::peer
--- /dev/null
+++ b/src/libpeer/src/peer_server.cpp
@@ -0,0 +1,120 @@
+#include <medlarstall/peer/peer_server.hpp>
+
+#include "connection_core.hpp"
+
+#include <algorithm>
+#include <vector>
+
+namespace medlarstall::peer {
+
+class peer_server::implementation
+    : public std::enable_shared_from_this<implementation>
+{
+public:
+    implementation(asio::io_context& io, peer_settings settings,
+                   stream_handler on_stream)
+        : io_{io}, settings_{std::move(settings)}, acceptor_{io},
+          on_stream_{std::move(on_stream)}
+    {}
+
+    result<std::uint16_t> listen(std::string const& address, std::uint16_t port)
+    {
+        try {
+            asio::ip::tcp::endpoint const endpoint{
+                asio::ip::make_address(address), port};
+            acceptor_.open(endpoint.protocol());
+            acceptor_.set_option(asio::socket_base::reuse_address(true));
+            acceptor_.bind(endpoint);
+            acceptor_.listen();
+        } catch (std::system_error const& failure) {
+            return error{"listen " + address + ":" + std::to_string(port),
+                         failure.what()};
+        }
+        accept();
+        return acceptor_.local_endpoint().port();
+    }
+
+    void shut_down()
+    {
+        for (auto const& weak : connections_) {
+            if (auto const connection = weak.lock()) {
+                connection->shut_down();
+            }
+        }
+    }
+
+    void close()
+    {
+        asio::error_code ignored;
+        acceptor_.close(ignored);
+        on_stream_ = [](auto const&) {
+        };
+        for (auto const& weak : connections_) {
+            if (auto const connection = weak.lock()) {
+                connection->close();
+            }
+        }
+    }
+
+private:
+    void accept()
+    {
+        acceptor_.async_accept(
+            [weak = weak_from_this()](auto const& failure,
+                                      asio::ip::tcp::socket socket) {
+                auto const self = weak.lock();
+                if (!self || failure == asio::error::operation_aborted) {
+                    return;
+                }
+                if (!failure) {
+                    self->serve(std::move(socket));
+                }
+                if (self->acceptor_.is_open()) {
+                    self->accept();
+                }
+            });
+    }
+
+    void serve(asio::ip::tcp::socket socket)
+    {
+        std::erase_if(connections_,
+                      [](auto const& weak) { return weak.expired(); });
+        auto const made = std::make_shared<connection_core>(io_, settings_);
+        connections_.push_back(made);
+        made->serve(std::move(socket), [weak = weak_from_this()](auto stream) {
+            if (auto const self = weak.lock()) {
+                self->on_stream_(std::move(stream));
+            }
+        });
+    }
+
+    asio::io_context& io_;
+    peer_settings settings_;
+    asio::ip::tcp::acceptor acceptor_;
+    stream_handler on_stream_;
+    std::vector<std::weak_ptr<connection_core>> connections_;
+};
+
+peer_server::peer_server(asio::io_context& io, peer_settings settings,
+                         stream_handler on_stream)
+    : implementation_{std::make_shared<implementation>(io, std::move(settings),
+                                                       std::move(on_stream))}
+{}
+
+peer_server::~peer_server()
+{
+    implementation_->close();
+}
+
+result<std::uint16_t> peer_server::listen(std::string const& address,
+                                          std::uint16_t port)
+{
+    return implementation_->listen(address, port);
+}
+
+void peer_server::shut_down()
+{
+    implementation_->shut_down();
+}
+
+} // namespace medlarstall::peer
