--- a/src/libcatalogue/include/medlarstall/catalogue/catalogue_follower.hpp
+++ b/src/libcatalogue/include/medlarstall/catalogue/catalogue_follower.hpp
@@ -46,7 +46,7 @@
     scanned,     ///< Only looked at for a checkpoint to start from.
     already,     ///< It was applied before.
     gap,         ///< Records before it are missing; read from next_offset().
-    read_again,  ///< It is damaged; read it once more from the log.
+    read_again,  ///< It is damaged; read it once more after a moment.
     disagreement ///< It differs from the record applied at that offset.
 };
 
@@ -62,7 +62,9 @@
 /// Applies the catalogue's log at one daemon. Its version never goes back.
 /// Starts from the first record, from the newest checkpoint whose tail is
 /// retained, or from a peer's snapshot. Owned by the daemon, which feeds it
-/// with what it reads from the log and hears from its peers.
+/// with what it reads from the log and hears from its peers. A daemon that
+/// finds that it disagrees with the log builds a second follower and swaps it
+/// in once its version is not lower.
 class catalogue_follower
 {
 public:
@@ -76,7 +78,8 @@
     /// \param first first retained offset
     /// \param end offset that the next append gets
     /// \return an error if the log was truncated, or if it holds no checkpoint
-    ///     to start from; the catalogue in force stays as it is
+    ///     to start from, in which case it is read again from its first
+    ///     record; the catalogue in force stays as it is
     status observe_bounds(std::uint64_t first, std::uint64_t end);
 
     /// Takes a record of the log.
@@ -127,7 +130,7 @@
     /// \return false if the two have applied unlike logs
     [[nodiscard]] bool agrees(catalogue_version const& peer) const;
 
-    /// \return text that a peer can adopt()
+    /// \return text that a peer can adopt(); empty unless ready()
     [[nodiscard]] std::string snapshot() const;
 
     /// Gives what a lagging peer needs.
@@ -156,7 +159,7 @@
     void remember(verdict decided);
     void start_empty();
     status start(checkpoint value);
-    status start_from_scan(std::uint64_t end);
+    status start_from_scan(std::uint64_t first, std::uint64_t end);
     [[nodiscard]] std::string const* chain_at(std::uint64_t offset) const;
     status check_applied_bounds(std::uint64_t first, std::uint64_t end);
 
--- a/src/libcatalogue/include/medlarstall/catalogue/checkpoint_policy.hpp
+++ b/src/libcatalogue/include/medlarstall/catalogue/checkpoint_policy.hpp
@@ -50,8 +50,8 @@
     checkpoint_settings settings_;
     std::chrono::milliseconds wait_;
     std::uint64_t prefix_ = 0;
-    wall_time oldest_{}; ///< Of what must not expire before a checkpoint.
-    wall_time wanted_since_{};
+    wall_time oldest_; ///< Of what must not expire before a checkpoint.
+    wall_time wanted_since_;
     bool started_ = false;
     bool waiting_ = false;
 };
--- a/src/libcatalogue/include/medlarstall/catalogue/log_record.hpp
+++ b/src/libcatalogue/include/medlarstall/catalogue/log_record.hpp
@@ -15,7 +15,7 @@
 struct log_record
 {
     std::uint64_t offset = 0;
-    wall_time written{}; ///< When the platform kept it.
+    wall_time written; ///< When the platform kept it.
     nlohmann::json value;
 };
 
@@ -23,7 +23,7 @@
 struct relayed_record
 {
     std::uint64_t offset = 0;
-    wall_time written{};
+    wall_time written;
     std::string digest;   ///< SHA-256 of the record's canonical text, in hex.
     nlohmann::json value; ///< Null for records that hold no change.
 };
--- a/src/libcatalogue/src/catalogue_follower.cpp
+++ b/src/libcatalogue/src/catalogue_follower.cpp
@@ -17,9 +17,10 @@
 
 constexpr std::size_t remembered_verdicts = 1'024;
 
-/// Readings of a damaged record before it counts as refused, since damage on
-/// the way may be gone at the next reading and damage in the log never is.
-constexpr unsigned most_readings = 3;
+/// Readings of a damaged record before it counts as refused. Damage on the way
+/// is mostly gone at the next reading, or a peer passes the record on
+/// meanwhile; damage in the log is the same for every daemon.
+constexpr unsigned most_readings = 8;
 
 } // namespace
 
@@ -30,7 +31,9 @@
 catalogue_follower::catalogue_follower(follower_settings settings)
     : settings_{std::move(settings)},
       policy_{settings_.daemon, settings_.checkpoints}
-{}
+{
+    applied_.version.chain = first_chain_digest();
+}
 
 std::uint64_t catalogue_follower::next_offset() const
 {
@@ -47,7 +50,7 @@
     if (!started_ && first == 0) {
         start_empty();
     }
-    auto const outcome =
+    auto outcome =
         started_ && !scanning_ ? check_applied_bounds(first, end) : success();
     if (failed(outcome)) {
         return outcome;
@@ -57,7 +60,7 @@
         if (found_ && found_->version.offset < first) {
             found_.reset();
         }
-        return scan_offset_ >= end ? start_from_scan(end) : success();
+        return scan_offset_ >= end ? start_from_scan(first, end) : success();
     }
     ready_ = ready_ || applied_.version.offset >= start_end_;
     return success();
@@ -79,9 +82,11 @@
     return success();
 }
 
-status catalogue_follower::start_from_scan(std::uint64_t end)
+status catalogue_follower::start_from_scan(std::uint64_t first,
+                                           std::uint64_t end)
 {
     if (!found_) {
+        scan_offset_ = first;
         return error{"log", "holds no usable checkpoint below offset " +
                                 std::to_string(end)};
     }
@@ -100,7 +105,7 @@
 
 status catalogue_follower::start(checkpoint value)
 {
-    if (started_ && value.version.offset <= applied_.version.offset) {
+    if (value.version.offset <= applied_.version.offset) {
         return error{"snapshot", "is at offset " +
                                      std::to_string(value.version.offset) +
                                      ", not above " +
@@ -352,7 +357,7 @@
 
 std::string catalogue_follower::snapshot() const
 {
-    return write_checkpoint(applied_);
+    return ready_ ? write_checkpoint(applied_) : std::string{};
 }
 
 std::optional<std::vector<relayed_record>>
--- a/src/libcatalogue/src/checkpoint.cpp
+++ b/src/libcatalogue/src/checkpoint.cpp
@@ -71,7 +71,8 @@
             auto const found = object->find(name);
             if (found == object->end() ||
                 !read_revision(*found, entry.at, entry.changed_by)) {
-                reader.fail(path + "." + name, "must be [revision, change id]");
+                reader.fail(std::string{path}.append(".").append(name),
+                            "must be [revision, change id]");
             }
         }
     });
@@ -143,6 +144,7 @@
     auto const parts =
         static_cast<unsigned>((payload.size() + bytes - 1) / bytes);
     std::vector<checkpoint_part> pieces;
+    pieces.reserve(parts);
     for (unsigned part = 0; part < parts; ++part) {
         pieces.push_back({.prefix = value.version.offset,
                           .part = part,
--- a/src/libcatalogue/src/object_reader.cpp
+++ b/src/libcatalogue/src/object_reader.cpp
@@ -49,6 +49,15 @@
            });
 }
 
+/// \return the whole number from 0, or nothing
+std::optional<std::uint64_t> whole_number(json const& value)
+{
+    bool const whole =
+        value.is_number_unsigned() ||
+        (value.is_number_integer() && value.get<std::int64_t>() >= 0);
+    return whole ? std::optional{value.get<std::uint64_t>()} : std::nullopt;
+}
+
 bool is_bounded(std::string_view text, std::size_t least, std::size_t most)
 {
     return text.size() >= least && text.size() <= most;
@@ -151,16 +160,16 @@
     if (value == nullptr) {
         return;
     }
-    bool const fits = value->is_number_unsigned() &&
-                      value->get<std::uint64_t>() >= allowed.least &&
-                      value->get<std::uint64_t>() <= allowed.most;
+    auto const number = whole_number(*value);
+    bool const fits =
+        number && *number >= allowed.least && *number <= allowed.most;
     if (!fits) {
         refuse(key, *value,
                "must be a whole number from " + std::to_string(allowed.least) +
                    " to " + std::to_string(allowed.most));
         return;
     }
-    target = value->get<unsigned>();
+    target = static_cast<unsigned>(*number);
 }
 
 void object_reader::read(std::string_view key, std::uint64_t& target)
@@ -169,11 +178,12 @@
     if (value == nullptr) {
         return;
     }
-    if (!value->is_number_unsigned()) {
+    auto const number = whole_number(*value);
+    if (!number) {
         refuse(key, *value, "must be a whole number from 0");
         return;
     }
-    target = value->get<std::uint64_t>();
+    target = *number;
 }
 
 void object_reader::read(std::string_view key,
