--- a/tests/libcatalogue/acceptance_test.cpp
+++ b/tests/libcatalogue/acceptance_test.cpp
@@ -192,7 +192,7 @@
     return (of_service ? "service" : "group") + std::to_string(number);
 }
 
-revision revision_of(catalogue::catalogue const& entries,
+revision revision_of(medlarstall::catalogue::catalogue const& entries,
                      random_edit const& one)
 {
     auto const name = name_of_item(one.of_service, one.name);
