--- a/tests/libcatalogue/acceptance_test.cpp
+++ b/tests/libcatalogue/acceptance_test.cpp
@@ -43,6 +43,7 @@
 catalogue_state with_operators()
 {
     std::vector<edit> edits;
+    edits.reserve(owners.size());
     for (auto const& owner : owners) {
         edits.push_back(put(operator_key{.name = owner,
                                          .owner = owner,
