Decide claims by the order of the log

Cause: a call that is not idempotent has to run at most once, whatever daemons, replies and the log do, without leases or takeover. Change: libclaim, a pure engine driven by the records of K streams. The first claim for a key in log order wins, only its holder dispatches, only the holder releases; appends are grouped, one in flight for each stream, and sent again under their sequence until a reply or the stream settles them; records may be forwarded to a preferred writer; each table remembers up to which key time it has forgotten, so a key above it that is absent was never claimed.

--- /dev/null
+++ b/src/libclaim/include/medlarstall/claim/outcome.hpp
@@ -0,0 +1,26 @@
+#ifndef MEDLARSTALL_CLAIM_OUTCOME_HPP
+#define MEDLARSTALL_CLAIM_OUTCOME_HPP
+
+#include <memory>
+#include <string>
+
+namespace medlarstall::claim {
+
+/// What came of a dispatched attempt. Plain data.
+struct outcome
+{
+    bool known = false; ///< False if it may or may not have run.
+    int status = 0;     ///< HTTP status of the backend server's answer.
+    std::string content_type;
+    std::string body;
+    bool whole = true; ///< False if the body was too large to be kept.
+
+    bool operator==(outcome const&) const = default;
+};
+
+/// An outcome that several calls share.
+using shared_outcome = std::shared_ptr<outcome const>;
+
+} // namespace medlarstall::claim
+
+#endif
--- /dev/null
+++ b/src/libclaim/src/claim_engine.cpp
@@ -0,0 +1,352 @@
+#include <medlarstall/claim/claim_engine.hpp>
+
+#include <medlarstall/support/digest.hpp>
+
+#include <algorithm>
+
+namespace medlarstall::claim {
+
+namespace {
+
+constexpr int accepted_version = 7;
+
+void earliest(std::optional<time_point>& least,
+              std::optional<time_point> const& other)
+{
+    if (other.has_value()) {
+        least = std::min(least.value_or(*other), *other);
+    }
+}
+
+} // namespace
+
+claim_engine::claim_engine(claim_settings settings)
+    : settings_{std::move(settings)}, random_{settings_.seed}
+{
+    for (std::size_t i = 0; i < settings_.streams; ++i) {
+        streams_.emplace_back(i, settings_);
+    }
+}
+
+actions claim_engine::start(moment now)
+{
+    actions out;
+    for (auto& stream : streams_) {
+        stream.position.last_record = now.steady;
+        out.emplace_back(read_action{.stream = stream.index, .from = 0});
+    }
+    return out;
+}
+
+actions claim_engine::request(call const& value, moment now)
+{
+    actions out;
+    auto const refuse = [&](refusal reason) {
+        out.emplace_back(answer_action{.id = value.id, .reason = reason});
+        return std::move(out);
+    };
+    auto const key = parse_uuid(value.key);
+    if (failed(key)) {
+        return refuse(refusal::malformed_key);
+    }
+    if (version_of(value_of(key)) != accepted_version) {
+        return refuse(refusal::wrong_key_version);
+    }
+    if (calls_.size() + attempts_.size() >= settings_.max_pending) {
+        return refuse(refusal::too_many_pending);
+    }
+    calls_.add({.id = value.id,
+                .key = value_of(key),
+                .digest = value.digest,
+                .deadline = value.deadline});
+    resolve(value_of(key), now, out);
+    flush(now, out);
+    return out;
+}
+
+actions claim_engine::cancel(call_id id, moment now)
+{
+    actions out;
+    if (auto const gone = calls_.remove(id)) {
+        abandon_if_unwanted(gone->key);
+    }
+    flush(now, out);
+    return out;
+}
+
+actions claim_engine::records(read_batch const& batch, moment now)
+{
+    actions out;
+    auto& stream = streams_.at(batch.stream);
+    stream.position.retry_at.reset();
+    if (stream.position.begin(batch.first_retained, batch.end)) {
+        restart_stream(stream, now);
+    }
+    for (auto const& entry : batch.entries) {
+        apply(stream, entry, now, out);
+    }
+    if (stream.position.lacks_first() && stream.writer.pending() == 0) {
+        stream.writer.add(mark_record{}, now.steady);
+    }
+    if (stream.needs_review && stream.position.caught_up()) {
+        review(stream, now, out);
+    }
+    out.emplace_back(
+        read_action{.stream = batch.stream, .from = stream.position.next()});
+    flush(now, out);
+    return out;
+}
+
+void claim_engine::review(claim_stream& stream, moment now, actions& out)
+{
+    stream.needs_review = false;
+    for (auto const& key : calls_.keys()) {
+        if (stream_of(key) == stream.index) {
+            resolve(key, now, out);
+        }
+    }
+}
+
+actions claim_engine::read_failed(std::size_t stream, moment now)
+{
+    auto const wait = settings_.group.least_retry +
+                      std::chrono::duration_cast<std::chrono::milliseconds>(
+                          jitter() * settings_.group.most_retry / 4);
+    streams_.at(stream).position.retry_at = now.steady + wait;
+    return {};
+}
+
+actions claim_engine::append_done(std::size_t stream, std::uint64_t sequence,
+                                  moment now)
+{
+    actions out;
+    streams_.at(stream).append_failing = false;
+    streams_.at(stream).writer.done(sequence);
+    flush(now, out);
+    return out;
+}
+
+actions claim_engine::append_failed(std::size_t stream, std::uint64_t sequence,
+                                    moment now)
+{
+    actions out;
+    auto& writer = streams_.at(stream).writer;
+    streams_.at(stream).append_failing = true;
+    writer.failed(sequence, now.steady, jitter());
+    writer.drop_if([&](record const& value) {
+        auto const* claim = std::get_if<claim_record>(&value);
+        if (claim == nullptr || claim->writer != settings_.writer) {
+            return false;
+        }
+        auto const found = attempts_.find(claim->attempt);
+        if (found == attempts_.end() ||
+            found->second.state != attempt_state::abandoned) {
+            return false;
+        }
+        attempts_.erase(found);
+        return true;
+    });
+    flush(now, out);
+    return out;
+}
+
+actions claim_engine::append_unknown(std::size_t stream, std::uint64_t sequence,
+                                     moment now)
+{
+    actions out;
+    streams_.at(stream).append_failing = true;
+    streams_.at(stream).writer.unknown(sequence, now.steady, jitter());
+    flush(now, out);
+    return out;
+}
+
+actions claim_engine::forwarded(std::size_t stream,
+                                std::vector<record> const& values, moment now)
+{
+    actions out;
+    auto& writer = streams_.at(stream).writer;
+    for (auto const& value : values) {
+        if (writer.pending() < settings_.max_pending) {
+            writer.add(value, now.steady);
+        }
+    }
+    flush(now, out);
+    return out;
+}
+
+void claim_engine::prefer(std::size_t stream, std::string daemon)
+{
+    streams_.at(stream).forwarder.prefer(std::move(daemon));
+}
+
+bool claim_engine::dispatched(uuid const& id)
+{
+    auto const found = attempts_.find(id);
+    if (found == attempts_.end() ||
+        found->second.state != attempt_state::offered) {
+        return false;
+    }
+    found->second.state = attempt_state::dispatched;
+    return true;
+}
+
+actions claim_engine::not_dispatched(uuid const& id, moment now)
+{
+    actions out;
+    auto const found = attempts_.find(id);
+    if (found != attempts_.end() &&
+        found->second.state == attempt_state::offered) {
+        release(id, found->second, now);
+    }
+    flush(now, out);
+    return out;
+}
+
+actions claim_engine::finished(uuid const& id, outcome result, moment now)
+{
+    actions out;
+    auto const found = attempts_.find(id);
+    if (found == attempts_.end() ||
+        (found->second.state != attempt_state::offered &&
+         found->second.state != attempt_state::dispatched)) {
+        return out;
+    }
+    if (result.body.size() > settings_.max_body) {
+        result.body.clear();
+        result.whole = false;
+    }
+    auto& done = found->second;
+    done.state = attempt_state::finishing;
+    done.result = std::make_shared<outcome const>(std::move(result));
+    submit(done.key, *unsettled_record(id, done), now);
+    resolve(done.key, now, out);
+    flush(now, out);
+    return out;
+}
+
+actions claim_engine::tick(moment now)
+{
+    actions out;
+    for (auto const& value : calls_.expired(now.steady)) {
+        expire(value, out);
+    }
+    flush(now, out);
+    return out;
+}
+
+std::optional<time_point> claim_engine::next_time() const
+{
+    auto next = calls_.next_deadline();
+    for (auto const& stream : streams_) {
+        earliest(next, stream.writer.next_time());
+        earliest(next, stream.forwarder.next_time());
+        earliest(next, stream.position.retry_at);
+        earliest(next, stream.position.last_record + mark_interval(stream));
+    }
+    return next;
+}
+
+bool claim_engine::ready() const
+{
+    return std::ranges::all_of(streams_, [](claim_stream const& stream) {
+        return stream.position.caught_up();
+    });
+}
+
+std::size_t claim_engine::stream_of(uuid const& key) const
+{
+    std::string_view const bytes{
+        reinterpret_cast<char const*>(key.bytes.data()), key.bytes.size()};
+    return hash64(bytes) % streams_.size();
+}
+
+claim_figures claim_engine::figures() const
+{
+    auto figures = counted_;
+    for (auto const& stream : streams_) {
+        figures.keys += stream.table.size();
+        figures.evicted += stream.table.evicted();
+    }
+    figures.calls = calls_.size();
+    figures.attempts = attempts_.size();
+    return figures;
+}
+
+void claim_engine::submit(uuid const& key, record value, moment now)
+{
+    auto& stream = streams_[stream_of(key)];
+    if (stream.forwarder.preferred().empty()) {
+        stream.writer.add(std::move(value), now.steady);
+    } else {
+        stream.forwarder.add(std::move(value), now.steady);
+    }
+}
+
+void claim_engine::resend_forwarded(claim_stream& stream, moment now)
+{
+    for (auto& value : stream.forwarder.overdue(now.steady)) {
+        auto const found = attempts_.find(attempt_of(value));
+        if (found == attempts_.end()) {
+            continue;
+        }
+        if (found->second.state == attempt_state::abandoned) {
+            attempts_.erase(found);
+            continue;
+        }
+        auto const current = unsettled_record(found->first, found->second);
+        if (current.has_value() && current->index() == value.index()) {
+            stream.writer.add(std::move(value), now.steady);
+        }
+    }
+}
+
+std::chrono::milliseconds
+claim_engine::mark_interval(claim_stream const& stream) const
+{
+    return settings_.mark_interval *
+           (stream.forwarder.preferred().empty() ? 1 : 2);
+}
+
+void claim_engine::mark_if_idle(claim_stream& stream, moment now)
+{
+    if (now.steady - stream.position.last_record < mark_interval(stream)) {
+        return;
+    }
+    stream.position.last_record = now.steady;
+    if (stream.writer.pending() == 0) {
+        stream.writer.add(mark_record{}, now.steady);
+    }
+}
+
+void claim_engine::flush(moment now, actions& out)
+{
+    for (auto& stream : streams_) {
+        resend_forwarded(stream, now);
+        mark_if_idle(stream, now);
+        auto group = stream.forwarder.poll(now.steady);
+        if (!group.empty()) {
+            out.emplace_back(
+                forward_action{.stream = stream.index,
+                               .daemon = stream.forwarder.preferred(),
+                               .records = std::move(group)});
+        }
+        if (auto const append = stream.writer.poll(now.steady)) {
+            out.emplace_back(append_action{.stream = stream.index,
+                                           .sequence = append->sequence,
+                                           .records = append->records});
+        }
+        auto& retry = stream.position.retry_at;
+        if (retry.has_value() && *retry <= now.steady) {
+            retry.reset();
+            out.emplace_back(read_action{.stream = stream.index,
+                                         .from = stream.position.next()});
+        }
+    }
+}
+
+double claim_engine::jitter()
+{
+    return std::uniform_real_distribution<double>{0.0, 1.0}(random_);
+}
+
+} // namespace medlarstall::claim
--- /dev/null
+++ b/src/libclaim/src/claim_settings.cpp
@@ -0,0 +1,65 @@
+#include <medlarstall/claim/claim_settings.hpp>
+
+#include <initializer_list>
+
+namespace medlarstall::claim {
+
+namespace {
+
+/// Range that a setting must lie in.
+struct range_check
+{
+    char const* name;
+    double value;
+    double least;
+    double most;
+};
+
+double count_of(std::chrono::milliseconds span)
+{
+    return static_cast<double>(span.count());
+}
+
+status check_ranges(std::initializer_list<range_check> checks)
+{
+    for (auto const& [name, value, least, most] : checks) {
+        if (value < least || value > most) {
+            return error{name, "is " + std::to_string(value) +
+                                   "; must be from " + std::to_string(least) +
+                                   " to " + std::to_string(most)};
+        }
+    }
+    return success();
+}
+
+} // namespace
+
+status check(claim_settings const& settings)
+{
+    constexpr double day_ms = 86'400'000.0;
+    if (settings.writer.empty() || settings.writer.size() > 128) {
+        return error{"claim-writer", "must have from 1 to 128 characters"};
+    }
+    if (settings.answer_window < settings.accept_window) {
+        return error{"claim-answer-window",
+                     "must not be shorter than claim-accept-window"};
+    }
+    auto const& group = settings.group;
+    return check_ranges({
+        {"claim-streams", double(settings.streams), 1, 1024},
+        {"claim-accept-window", count_of(settings.accept_window), 1'000,
+         day_ms},
+        {"claim-answer-window", count_of(settings.answer_window), 1'000,
+         day_ms},
+        {"claim-max-keys", double(settings.max_keys), double(settings.streams),
+         1e8},
+        {"claim-max-body", double(settings.max_body), 0, 256.0 * 1024},
+        {"claim-max-pending", double(settings.max_pending), 1, 1e7},
+        {"claim-group-records", double(group.max_records), 1, 4096},
+        {"claim-group-delay", count_of(group.delay), 0, 1'000},
+        {"claim-appends-per-second", group.appends_per_second, 0.1, 1e5},
+        {"claim-append-burst", double(group.burst), 1, 1'000},
+    });
+}
+
+} // namespace medlarstall::claim
--- /dev/null
+++ b/src/libclaim/src/record.cpp
@@ -0,0 +1,72 @@
+#include <medlarstall/claim/record.hpp>
+#include <medlarstall/support/digest.hpp>
+
+namespace medlarstall::claim {
+
+namespace {
+
+constexpr std::size_t claim_bytes = 220;
+constexpr std::size_t release_bytes = 120;
+constexpr std::size_t outcome_bytes = 200;
+constexpr std::size_t mark_bytes = 16;
+
+std::uint8_t hex_value(char digit)
+{
+    return static_cast<std::uint8_t>(digit <= '9' ? digit - '0'
+                                                  : digit - 'a' + 10);
+}
+
+/// Appends a text with its length, so that no two lists of texts are alike.
+void append_field(std::string& to, std::string_view field)
+{
+    to += std::to_string(field.size());
+    to += ':';
+    to += field;
+}
+
+} // namespace
+
+body_digest digest_of(std::string_view organisation, std::string_view operation,
+                      std::string_view body)
+{
+    std::string text;
+    text.reserve(organisation.size() + operation.size() + body.size() + 32);
+    append_field(text, organisation);
+    append_field(text, operation);
+    append_field(text, body);
+    auto const hex = sha256_hex(text);
+    body_digest digest;
+    for (std::size_t i = 0; i < digest.bytes.size(); ++i) {
+        digest.bytes[i] = static_cast<std::uint8_t>(
+            hex_value(hex[2 * i]) << 4U | hex_value(hex[2 * i + 1]));
+    }
+    return digest;
+}
+
+std::size_t encoded_size(record const& value)
+{
+    if (auto const* done = std::get_if<outcome_record>(&value)) {
+        return outcome_bytes + done->result->body.size() +
+               done->result->content_type.size();
+    }
+    if (std::holds_alternative<claim_record>(value)) {
+        return claim_bytes;
+    }
+    return std::holds_alternative<release_record>(value) ? release_bytes
+                                                         : mark_bytes;
+}
+
+uuid attempt_of(record const& value)
+{
+    return std::visit(
+        [](auto const& kind) {
+            if constexpr (requires { kind.attempt; }) {
+                return kind.attempt;
+            } else {
+                return uuid{};
+            }
+        },
+        value);
+}
+
+} // namespace medlarstall::claim
--- /dev/null
+++ b/src/libclaim/src/record_codec.cpp
@@ -0,0 +1,272 @@
+#include <medlarstall/claim/record_codec.hpp>
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace medlarstall::claim {
+
+namespace {
+
+using nlohmann::json;
+
+template<class Bytes>
+std::string to_hex(Bytes const& bytes)
+{
+    static constexpr char digits[] = "0123456789abcdef";
+    std::string text;
+    text.reserve(bytes.size() * 2);
+    for (auto const value : bytes) {
+        auto const byte = static_cast<std::uint8_t>(value);
+        text += digits[byte >> 4U];
+        text += digits[byte & 0xFU];
+    }
+    return text;
+}
+
+int digit_value(char digit)
+{
+    if (digit >= '0' && digit <= '9') {
+        return digit - '0';
+    }
+    return digit >= 'a' && digit <= 'f' ? digit - 'a' + 10 : -1;
+}
+
+/// \return false if \p text is not pairs of lower-case hexadecimal digits
+template<class Put>
+bool from_hex(std::string_view text, Put put)
+{
+    if (text.size() % 2 != 0) {
+        return false;
+    }
+    for (std::size_t i = 0; i < text.size(); i += 2) {
+        int const high = digit_value(text[i]);
+        int const low = digit_value(text[i + 1]);
+        if (high < 0 || low < 0) {
+            return false;
+        }
+        put(static_cast<std::uint8_t>(high << 4 | low));
+    }
+    return true;
+}
+
+bool is_utf8(std::string const& text)
+{
+    try {
+        static_cast<void>(json(text).dump());
+        return true;
+    } catch (json::type_error const&) {
+        return false;
+    }
+}
+
+/// Reads fields of one object and keeps the first error.
+class field_reader
+{
+public:
+    explicit field_reader(json const& object) : object_{object} {}
+
+    std::string text(char const* name)
+    {
+        auto const found = object_.find(name);
+        if (found == object_.end() || !found->is_string()) {
+            fail(name, "must be a string");
+            return {};
+        }
+        return found->get<std::string>();
+    }
+
+    std::string text_or_empty(char const* name)
+    {
+        return object_.contains(name) ? text(name) : std::string{};
+    }
+
+    uuid id(char const* name)
+    {
+        auto const parsed = parse_uuid(text(name));
+        if (medlarstall::failed(parsed)) {
+            fail(name, error_of(parsed).message);
+            return {};
+        }
+        return value_of(parsed);
+    }
+
+    body_digest digest(char const* name)
+    {
+        body_digest value;
+        std::size_t used = 0;
+        bool const valid = from_hex(text(name), [&](std::uint8_t byte) {
+            if (used < value.bytes.size()) {
+                value.bytes[used] = byte;
+            }
+            ++used;
+        });
+        if (!valid || used != value.bytes.size()) {
+            fail(name, "must be 32 hexadecimal digits");
+        }
+        return value;
+    }
+
+    std::string hex(char const* name)
+    {
+        std::string value;
+        if (!from_hex(text(name), [&](std::uint8_t byte) {
+                value += static_cast<char>(byte);
+            })) {
+            fail(name, "must be hexadecimal digits");
+        }
+        return value;
+    }
+
+    int number_or_zero(char const* name)
+    {
+        auto const found = object_.find(name);
+        if (found == object_.end()) {
+            return 0;
+        }
+        if (!found->is_number_integer()) {
+            fail(name, "must be a whole number");
+            return 0;
+        }
+        return found->get<int>();
+    }
+
+    bool flag_or(char const* name, bool otherwise)
+    {
+        auto const found = object_.find(name);
+        if (found == object_.end()) {
+            return otherwise;
+        }
+        if (!found->is_boolean()) {
+            fail(name, "must be true or false");
+            return otherwise;
+        }
+        return found->get<bool>();
+    }
+
+    [[nodiscard]] bool has(char const* name) const
+    {
+        return object_.contains(name);
+    }
+
+    void fail(char const* name, std::string message)
+    {
+        if (!failure_.has_value()) {
+            failure_ = error{name, std::move(message)};
+        }
+    }
+
+    result<record> finish(record value)
+    {
+        if (failure_.has_value()) {
+            return *failure_;
+        }
+        return value;
+    }
+
+private:
+    json const& object_;
+    std::optional<error> failure_;
+};
+
+result<record> parse_outcome(field_reader& fields)
+{
+    outcome value;
+    value.known = fields.flag_or("known", true);
+    value.status = fields.number_or_zero("status");
+    value.content_type = fields.text_or_empty("content_type");
+    value.whole = fields.flag_or("whole", true);
+    value.body = fields.has("body_hex") ? fields.hex("body_hex")
+                                        : fields.text_or_empty("body");
+    outcome_record parsed{
+        .key = fields.id("key"),
+        .attempt = fields.id("attempt"),
+        .result = std::make_shared<outcome const>(std::move(value))};
+    return fields.finish(std::move(parsed));
+}
+
+json to_json(mark_record const&)
+{
+    return {{"kind", "mark"}};
+}
+
+json to_json(claim_record const& value)
+{
+    return {{"kind", "claim"},
+            {"key", to_string(value.key)},
+            {"digest", to_hex(value.digest.bytes)},
+            {"attempt", to_string(value.attempt)},
+            {"writer", value.writer}};
+}
+
+json to_json(release_record const& value)
+{
+    return {{"kind", "release"},
+            {"key", to_string(value.key)},
+            {"attempt", to_string(value.attempt)}};
+}
+
+json to_json(outcome_record const& value)
+{
+    json object = {{"kind", "outcome"},
+                   {"key", to_string(value.key)},
+                   {"attempt", to_string(value.attempt)}};
+    auto const& done = *value.result;
+    if (!done.known) {
+        object["known"] = false;
+        return object;
+    }
+    object["status"] = done.status;
+    object["content_type"] = done.content_type;
+    if (is_utf8(done.body)) {
+        object["body"] = done.body;
+    } else {
+        object["body_hex"] = to_hex(done.body);
+    }
+    if (!done.whole) {
+        object["whole"] = false;
+    }
+    return object;
+}
+
+} // namespace
+
+nlohmann::json to_json(record const& value)
+{
+    return std::visit([](auto const& kind) { return to_json(kind); }, value);
+}
+
+result<record> parse_record(nlohmann::json const& json)
+{
+    if (!json.is_object()) {
+        return error{"record", "must be an object"};
+    }
+    field_reader fields{json};
+    auto const kind = fields.text("kind");
+    if (kind == "mark") {
+        return fields.finish(mark_record{});
+    }
+    if (kind == "claim") {
+        return fields.finish(claim_record{.key = fields.id("key"),
+                                          .digest = fields.digest("digest"),
+                                          .attempt = fields.id("attempt"),
+                                          .writer = fields.text("writer")});
+    }
+    if (kind == "release") {
+        return fields.finish(release_record{.key = fields.id("key"),
+                                            .attempt = fields.id("attempt")});
+    }
+    if (kind == "outcome") {
+        return parse_outcome(fields);
+    }
+    return error{"kind",
+                 "is '" + kind + "'; must be mark, claim, release or outcome"};
+}
+
+record record_or_mark(nlohmann::json const& json)
+{
+    auto parsed = parse_record(json);
+    return failed(parsed) ? record{mark_record{}} : std::move(value_of(parsed));
+}
+
+} // namespace medlarstall::claim
