--- /dev/null
+++ b/tests/libsettings/setting_set_test.cpp
@@ -0,0 +1,92 @@
+#include <medlarstall/settings/setting_set.hpp>
+
+#include <boost/test/unit_test.hpp>
+
+#include <map>
+
+using namespace medlarstall;
+using namespace medlarstall::settings;
+
+namespace {
+
+struct fixture
+{
+    fixture()
+    {
+        set.add("name", "A text", name);
+        set.add_number("port", "A port", 1, 65'535, port);
+        set.add_span("wait-ms", "A span", std::chrono::milliseconds{10},
+                     std::chrono::milliseconds{1'000}, wait);
+        set.add_choice("form", "A choice", {"json", "text"}, form);
+        set.add_list("url", "A list", urls);
+        set.add_switch("check", "A switch", check);
+    }
+
+    result<next> read(std::vector<std::string> flags)
+    {
+        flags.insert(flags.begin(), "program");
+        return set.read(std::move(flags), [this](char const* variable) {
+            auto const found = variables.find(variable);
+            return found == variables.end() ? nullptr : found->second.c_str();
+        });
+    }
+
+    void refused(std::vector<std::string> flags, std::string const& field,
+                 std::string const& part_of_message)
+    {
+        auto const outcome = read(std::move(flags));
+        BOOST_REQUIRE(failed(outcome));
+        BOOST_TEST(error_of(outcome).field == field);
+        BOOST_TEST(error_of(outcome).message.find(part_of_message) !=
+                   std::string::npos);
+    }
+
+    std::string name = "default";
+    std::uint16_t port = 80;
+    std::chrono::milliseconds wait{100};
+    std::string form = "text";
+    std::vector<std::string> urls;
+    bool check = false;
+    std::map<std::string, std::string> variables;
+    setting_set set{"program", "Tests settings.", "1"};
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(setting_set_suite, fixture)
+
+BOOST_AUTO_TEST_CASE(a_flag_goes_before_its_variable_and_the_default)
+{
+    variables = {{"MEDLARSTALL_PORT", "81"},
+                 {"MEDLARSTALL_WAIT_MS", "20"},
+                 {"MEDLARSTALL_URL", "a,b"},
+                 {"MEDLARSTALL_CHECK", "1"}};
+    BOOST_REQUIRE(!failed(read({"--port", "82", "--form", "json"})));
+    BOOST_TEST(port == 82);
+    BOOST_TEST((wait == std::chrono::milliseconds{20}));
+    BOOST_TEST(name == "default");
+    BOOST_TEST(form == "json");
+    BOOST_TEST((urls == std::vector<std::string>{"a", "b"}));
+    BOOST_TEST(check);
+}
+
+BOOST_AUTO_TEST_CASE(names_setting_value_and_range)
+{
+    refused({"--port", "0"}, "--port", "\"0\" must be a whole number from 1");
+    refused({"--port", "x"}, "--port", "\"x\"");
+    refused({"--port", "70000"}, "--port", "1 to 65535");
+    refused({"--form", "xml"}, "--form", "must be one of json, text");
+    refused({"--wait-ms", "5"}, "--wait-ms", "10 to 1000");
+    variables = {{"MEDLARSTALL_PORT", "no"}};
+    refused({}, "MEDLARSTALL_PORT", "\"no\"");
+    variables = {{"MEDLARSTALL_CHECK", "maybe"}};
+    refused({}, "MEDLARSTALL_CHECK", "must be one of");
+}
+
+BOOST_AUTO_TEST_CASE(refuses_an_unknown_flag)
+{
+    auto const outcome = read({"--none", "1"});
+    BOOST_TEST(failed(outcome));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
