Let the holder give back a claim that its owner refused

Cause: an owner's refusal proves that an attempt which was handed to it never ran; without a release the caller's retry would learn "unknown". Change: claim_engine::withdrawn, for the holder of a dispatched attempt only. Conclusion: refused calls can be sent again under the same key.

--- a/src/libclaim/include/medlarstall/claim/claim_engine.hpp
+++ b/src/libclaim/include/medlarstall/claim/claim_engine.hpp
@@ -91,6 +91,10 @@
     /// Gives a claim back whose attempt was not and never will be dispatched.
     [[nodiscard]] actions not_dispatched(uuid const& attempt, moment now);
 
+    /// Gives a claim back whose attempt was sent to an owner that promised
+    /// that it did not run and never will.
+    [[nodiscard]] actions withdrawn(uuid const& attempt, moment now);
+
     /// Takes the outcome of an attempt, known or not.
     [[nodiscard]] actions finished(uuid const& attempt, outcome result,
                                    moment now);
--- a/src/libclaim/src/claim_engine.cpp
+++ b/src/libclaim/src/claim_engine.cpp
@@ -190,6 +190,18 @@
     return true;
 }
 
+actions claim_engine::withdrawn(uuid const& id, moment now)
+{
+    actions out;
+    auto const found = attempts_.find(id);
+    if (found != attempts_.end() &&
+        found->second.state == attempt_state::dispatched) {
+        release(id, found->second, now);
+    }
+    flush(now, out);
+    return out;
+}
+
 actions claim_engine::not_dispatched(uuid const& id, moment now)
 {
     actions out;
