--- a/src/libscheduling/src/owner_scheduler_state.cpp
+++ b/src/libscheduling/src/owner_scheduler_state.cpp
@@ -398,6 +398,7 @@
     while (auto const id = group.expired(before)) {
         auto& record = records_.at(*id);
         auto const limited =
+            blocked_[record.entry.organisation] ||
             organisations_.at_limit(record.entry.organisation, now);
         refuse_record(record,
                       limited ? refusal::organisation_limit : refusal::deadline,
