--- a/src/libscheduling/src/owner_scheduler_state.cpp
+++ b/src/libscheduling/src/owner_scheduler_state.cpp
@@ -83,10 +83,10 @@
     group.prepare(record);
     if (auto const reason = reason_to_refuse(record, now)) {
         refuse_record(record, *reason, actions);
-        return true;
+    } else {
+        group.push(record);
+        refresh_limits(organisation, now);
     }
-    group.push(record);
-    refresh_limits(organisation, now);
     settle(group, now, actions);
     return true;
 }
