Preempt, continue and move streams at the engine stand-in

Cause: the interface to engines gained kept streams, and the stand-ins had no tests. Requests that nobody answers keep their connection: a silent stream was closed, since RESTinio closes a connection whose request and answer are destroyed; the test of silent connections found it.

--- a/tests/standins/include/medlarstall/standins/engine_model.hpp
+++ b/tests/standins/include/medlarstall/standins/engine_model.hpp
@@ -32,6 +32,7 @@
     double batching_slowdown = 0.02;
     std::size_t cached_prefixes = 4096;
     std::chrono::seconds keep_finished{30};
+    std::chrono::seconds keep_preempted{60};
 };
 
 /// State of one stream.
@@ -40,7 +41,8 @@
     waiting,
     running,
     finished,
-    cancelled
+    cancelled,
+    kept ///< Preempted; its tokens and cache are kept for a while.
 };
 
 /// One attempt that the engine was given.
@@ -55,12 +57,21 @@
     stream_state state = stream_state::waiting;
     std::uint64_t made = 0; ///< Tokens generated so far.
     time_point submitted;
-    time_point due; ///< Of the next token, while it runs.
+    time_point due;           ///< Of the next token, while it runs.
+    std::uint64_t starts = 0; ///< How often it got a slot.
     time_point ended;
 };
 
 using engine_stream_ptr = std::shared_ptr<engine_stream>;
 
+/// \param stream stream to look at
+/// \return true if it neither runs nor waits
+[[nodiscard]] inline bool idle(engine_stream const& stream)
+{
+    return stream.state != stream_state::running &&
+           stream.state != stream_state::waiting;
+}
+
 /// A change of the prefix cache.
 struct cache_change
 {
@@ -97,6 +108,24 @@
     /// \return false if it is not known
     bool cancel(std::string const& attempt, time_point now);
 
+    /// Frees the slot of an attempt and keeps its tokens.
+    /// \param attempt identifier of the attempt
+    /// \param now time
+    /// \return its stream, or null if it is not known
+    engine_stream_ptr keep(std::string const& attempt, time_point now);
+
+    /// Gives a kept attempt a slot again.
+    /// \param stream a kept stream
+    /// \param priority 0 is served first
+    /// \param now time
+    /// \return false if no slot is free
+    bool resume(engine_stream_ptr const& stream, int priority, time_point now);
+
+    /// Takes over a kept stream of another engine.
+    /// \param stream its state
+    /// \param now time
+    void import(engine_stream stream, time_point now);
+
     /// Generates every token that is due.
     /// \param now time
     /// \param on_token called after each token
@@ -126,25 +155,26 @@
     [[nodiscard]] duration first_token_time() const { return first_token_; }
 
 private:
-    struct later
+    /// The next token of a stream; void once the stream lost that slot.
+    struct due_token
     {
-        bool operator()(engine_stream_ptr const& left,
-                        engine_stream_ptr const& right) const
-        {
-            return left->due > right->due;
-        }
+        time_point due;
+        std::uint64_t start = 0;
+        engine_stream_ptr stream;
+
+        bool operator<(due_token const& other) const { return due > other.due; }
     };
-    using run_queue =
-        std::priority_queue<engine_stream_ptr, std::vector<engine_stream_ptr>,
-                            later>;
     using prefix_list = std::list<std::string>;
 
     void start(engine_stream_ptr const& stream, time_point now);
     void start_waiting(time_point now);
-    void end(engine_stream& stream, stream_state state, time_point now);
-    void drop_cancelled_front();
+    void release(engine_stream_ptr const& stream, stream_state state,
+                 time_point now);
+    void drop_void_tokens();
+    void schedule(engine_stream_ptr const& stream);
     void note_first_token(duration taken);
-    void forget_finished(time_point now);
+    void forget_old(std::deque<engine_stream_ptr>& streams,
+                    std::chrono::seconds kept_for, time_point now);
     std::uint64_t use_cache(std::string_view prompt);
     void store_prefix(std::string const& prefix);
 
@@ -154,9 +184,10 @@
     std::size_t waiting_ = 0;
     duration first_token_{};
     std::unordered_map<std::string, engine_stream_ptr> streams_;
-    run_queue run_queue_;
+    std::priority_queue<due_token> due_tokens_;
     std::map<int, std::deque<engine_stream_ptr>> waiting_by_priority_;
     std::deque<engine_stream_ptr> ended_;
+    std::deque<engine_stream_ptr> kept_;
     prefix_list recent_prefixes_;
     std::unordered_map<std::string, prefix_list::iterator> prefixes_;
     std::vector<cache_change> changes_;
--- a/tests/standins/src/engine_model.cpp
+++ b/tests/standins/src/engine_model.cpp
@@ -37,7 +37,8 @@
                                        std::optional<std::uint64_t> max_tokens,
                                        int priority, time_point now)
 {
-    forget_finished(now);
+    forget_old(ended_, speed_.keep_finished, now);
+    forget_old(kept_, speed_.keep_preempted, now);
     bool const free = running_ < speed_.slots;
     if (!free && waiting_ >= speed_.waiting_limit) {
         return nullptr;
@@ -71,40 +72,61 @@
     if (!stream) {
         return false;
     }
-    if (stream->state == stream_state::running) {
-        end(*stream, stream_state::cancelled, now);
-        start_waiting(now);
-    } else if (stream->state == stream_state::waiting) {
-        std::erase(waiting_by_priority_[stream->priority], stream);
-        --waiting_;
+    if (stream->state == stream_state::kept) {
         stream->state = stream_state::cancelled;
-        stream->ended = now;
-        ended_.push_back(stream);
     }
+    release(stream, stream_state::cancelled, now);
+    return true;
+}
+
+engine_stream_ptr engine_model::keep(std::string const& attempt, time_point now)
+{
+    auto const stream = find(attempt);
+    if (stream) {
+        release(stream, stream_state::kept, now);
+    }
+    return stream;
+}
+
+bool engine_model::resume(engine_stream_ptr const& stream, int priority,
+                          time_point now)
+{
+    if (running_ >= speed_.slots) {
+        return false;
+    }
+    stream->priority = priority;
+    start(stream, now);
     return true;
 }
 
+void engine_model::import(engine_stream stream, time_point now)
+{
+    auto const taken = std::make_shared<engine_stream>(std::move(stream));
+    taken->state = stream_state::kept;
+    taken->ended = now;
+    streams_[taken->attempt] = taken;
+    kept_.push_back(taken);
+}
+
 void engine_model::advance(time_point now,
                            std::function<void(engine_stream&)> const& on_token)
 {
-    drop_cancelled_front();
-    while (!run_queue_.empty() && run_queue_.top()->due <= now) {
-        auto const stream = run_queue_.top();
-        run_queue_.pop();
+    drop_void_tokens();
+    while (!due_tokens_.empty() && due_tokens_.top().due <= now) {
+        auto const stream = due_tokens_.top().stream;
+        due_tokens_.pop();
         if (stream->made == 0) {
             note_first_token(stream->due - stream->submitted);
         }
-        bool const empty = stream->plan.length == 0;
-        stream->made += empty ? 0 : 1;
+        stream->made += stream->made < stream->plan.length ? 1 : 0;
         if (stream->made == stream->plan.length) {
-            end(*stream, stream_state::finished, now);
+            release(stream, stream_state::finished, now);
         } else {
             stream->due += token_interval();
-            run_queue_.push(stream);
+            schedule(stream);
         }
         on_token(*stream);
-        start_waiting(now);
-        drop_cancelled_front();
+        drop_void_tokens();
     }
 }
 
@@ -116,18 +138,19 @@
 
 std::optional<time_point> engine_model::next_due() const
 {
-    if (run_queue_.empty()) {
+    if (due_tokens_.empty()) {
         return std::nullopt;
     }
-    return run_queue_.top()->due;
+    return due_tokens_.top().due;
 }
 
 void engine_model::clear()
 {
     streams_.clear();
-    run_queue_ = {};
+    due_tokens_ = {};
     waiting_by_priority_.clear();
     ended_.clear();
+    kept_.clear();
     recent_prefixes_.clear();
     prefixes_.clear();
     running_ = 0;
@@ -148,13 +171,21 @@
 
 void engine_model::start(engine_stream_ptr const& stream, time_point now)
 {
-    auto const uncached = stream->prompt_tokens - stream->cached_tokens;
+    bool const prefilled = stream->made > 0;
+    auto const uncached =
+        prefilled ? 0 : stream->prompt_tokens - stream->cached_tokens;
     ++running_;
+    ++stream->starts;
     stream->state = stream_state::running;
     stream->due =
         now + token_interval() +
         scaled(speed_.prefill_per_token, slow_ * static_cast<double>(uncached));
-    run_queue_.push(stream);
+    schedule(stream);
+}
+
+void engine_model::schedule(engine_stream_ptr const& stream)
+{
+    due_tokens_.push({stream->due, stream->starts, stream});
 }
 
 void engine_model::start_waiting(time_point now)
@@ -172,29 +203,45 @@
     }
 }
 
-void engine_model::end(engine_stream& stream, stream_state state,
-                       time_point now)
+void engine_model::release(engine_stream_ptr const& stream, stream_state state,
+                           time_point now)
 {
-    --running_;
-    stream.state = state;
-    stream.ended = now;
-    ended_.push_back(find(stream.attempt));
+    if (idle(*stream)) {
+        return;
+    }
+    if (stream->state == stream_state::running) {
+        --running_;
+    } else {
+        std::erase(waiting_by_priority_[stream->priority], stream);
+        --waiting_;
+    }
+    stream->state = state;
+    stream->ended = now;
+    (state == stream_state::kept ? kept_ : ended_).push_back(stream);
+    start_waiting(now);
 }
 
-void engine_model::drop_cancelled_front()
+void engine_model::drop_void_tokens()
 {
-    while (!run_queue_.empty() &&
-           run_queue_.top()->state == stream_state::cancelled) {
-        run_queue_.pop();
+    while (!due_tokens_.empty()) {
+        auto const& next = due_tokens_.top();
+        bool const valid = next.stream->state == stream_state::running &&
+                           next.start == next.stream->starts;
+        if (valid) {
+            return;
+        }
+        due_tokens_.pop();
     }
 }
 
-void engine_model::forget_finished(time_point now)
+void engine_model::forget_old(std::deque<engine_stream_ptr>& streams,
+                              std::chrono::seconds kept_for, time_point now)
 {
-    while (!ended_.empty() &&
-           ended_.front()->ended + speed_.keep_finished < now) {
-        streams_.erase(ended_.front()->attempt);
-        ended_.pop_front();
+    while (!streams.empty() && streams.front()->ended + kept_for < now) {
+        if (idle(*streams.front())) {
+            streams_.erase(streams.front()->attempt);
+        }
+        streams.pop_front();
     }
 }
 
--- a/tests/standins/src/engine_standin.cpp
+++ b/tests/standins/src/engine_standin.cpp
@@ -1,6 +1,7 @@
 #include <medlarstall/standins/engine_standin.hpp>
 
 #include "engine_frames.hpp"
+#include "engine_state.hpp"
 #include "json_replies.hpp"
 #include "stream_reader.hpp"
 
@@ -89,6 +90,10 @@
     void stream_request(http_exchange_ptr const& exchange);
     void resume(http_exchange_ptr const& exchange,
                 engine_stream_ptr const& stream);
+    void end_stream(http_exchange& exchange, engine_stream_ptr const& stream);
+    void continue_stream(http_exchange_ptr const& exchange,
+                         engine_stream_ptr const& stream);
+    void import_state(http_exchange& exchange, std::string const& attempt);
     void report_load(http_exchange& exchange) const;
     void report_cache(http_exchange_ptr const& exchange, time_point until);
     void take_order(http_exchange& exchange);
@@ -236,28 +241,82 @@
     http_exchange_ptr const& exchange)
 {
     auto const& request = exchange->request();
-    auto const attempt = request.path.substr(streams_prefix.size());
+    auto const rest = request.path.substr(streams_prefix.size());
+    auto const slash = std::min(rest.find('/'), rest.size());
+    auto const attempt = rest.substr(0, slash);
+    auto const action = rest.substr(slash);
+    if (action == "/state" && request.method == "PUT") {
+        import_state(*exchange, attempt);
+        return;
+    }
     auto const stream = model.find(attempt);
     if (!stream) {
         reply_error(*exchange, 404, "unknown attempt");
-        return;
-    }
-    if (request.method == "GET") {
+    } else if (action.empty() && request.method == "GET") {
         resume(exchange, stream);
-        return;
+    } else if (action.empty() && request.method == "DELETE") {
+        end_stream(*exchange, stream);
+    } else if (stream->state != stream_state::kept) {
+        reply_error(*exchange, 404, "this attempt is not kept");
+    } else if (action == "/state" && request.method == "GET") {
+        reply_json(*exchange, 200, stream_state_json(*stream));
+    } else if (action == "/continue" && request.method == "POST") {
+        continue_stream(exchange, stream);
+    } else {
+        reply_error(*exchange, 404, "no such path");
     }
-    if (request.method != "DELETE") {
-        reply_error(*exchange, 405, "allowed: GET, DELETE");
-        return;
+}
+
+void engine_standin::implementation::end_stream(http_exchange& exchange,
+                                                engine_stream_ptr const& stream)
+{
+    auto const now = decision_clock::now();
+    bool const keeps = exchange.request().parameter("keep", 0) == 1;
+    if (keeps) {
+        model.keep(stream->attempt, now);
+        reply_json(exchange, 200, {{"tokens", stream->made}});
+    } else {
+        model.cancel(stream->attempt, now);
+        exchange.reply(204, "");
     }
-    model.cancel(attempt, decision_clock::now());
     serve_readers(*stream);
     note(*stream);
     sample();
-    exchange->reply(204, "");
     arm();
 }
 
+void engine_standin::implementation::continue_stream(
+    http_exchange_ptr const& exchange, engine_stream_ptr const& stream)
+{
+    auto const priority =
+        static_cast<int>(exchange->request().parameter("priority", 0));
+    if (switches->stopping ||
+        !model.resume(stream, priority, decision_clock::now())) {
+        reply_not_run(*exchange, 429, "no slot is free");
+        return;
+    }
+    note(*stream);
+    sample();
+    resume(exchange, stream);
+    arm();
+}
+
+void engine_standin::implementation::import_state(http_exchange& exchange,
+                                                  std::string const& attempt)
+{
+    auto stream = parse_stream_state(exchange.request().body);
+    if (!stream || stream->attempt != attempt || failed(parse_uuid(attempt))) {
+        reply_error(exchange, 400, "no exported state of this attempt");
+        return;
+    }
+    if (auto const known = model.find(attempt); known && !idle(*known)) {
+        reply_error(exchange, 409, "this attempt runs here");
+        return;
+    }
+    model.import(std::move(*stream), decision_clock::now());
+    exchange.reply(204, "");
+}
+
 void engine_standin::implementation::resume(http_exchange_ptr const& exchange,
                                             engine_stream_ptr const& stream)
 {
@@ -429,8 +488,7 @@
 
 void engine_standin::implementation::serve_readers(engine_stream& stream)
 {
-    bool const ended = stream.state == stream_state::finished ||
-                       stream.state == stream_state::cancelled;
+    bool const ended = idle(stream);
     if (auto const found = readers.find(&stream); found != readers.end()) {
         auto const reader = found->second;
         reader->pump();
@@ -443,7 +501,7 @@
         if (stream.state == stream_state::finished) {
             whole->second->reply(200, whole_answer(stream));
         } else {
-            reply_error(*whole->second, 499, "cancelled");
+            reply_error(*whole->second, 499, "cancelled or preempted");
         }
         whole_readers.erase(whole);
     }
--- a/tests/standins/src/http_host.cpp
+++ b/tests/standins/src/http_host.cpp
@@ -34,6 +34,14 @@
     std::ignore = socket.close(ignored);
 }
 
+/// A request that nobody answers, kept since RESTinio closes a connection
+/// whose request and answer are let go of.
+struct unanswered_request
+{
+    restinio::request_handle_t handle;
+    std::unique_ptr<restinio::response_builder_t<chunked>> stream;
+};
+
 restinio::http_status_line_t status_line(unsigned code)
 {
     auto const number = static_cast<std::uint16_t>(code);
@@ -76,6 +84,7 @@
     std::uint16_t port = 0;
     std::uint64_t latest_connection = 0;
     std::uint64_t silent_up_to = 0;
+    std::vector<unanswered_request> unanswered;
 
     [[nodiscard]] bool silent(std::uint64_t connection) const
     {
@@ -109,6 +118,15 @@
     std::weak_ptr<http_host::implementation> host;
     http_request request;
     std::unique_ptr<restinio::response_builder_t<chunked>> stream;
+    std::shared_ptr<bool> ended = std::make_shared<bool>(false);
+
+    void keep_open()
+    {
+        auto const owner = host.lock();
+        if (!*ended && owner && owner->http) {
+            owner->unanswered.push_back({std::move(handle), std::move(stream)});
+        }
+    }
 
     [[nodiscard]] bool silent() const
     {
@@ -121,7 +139,10 @@
     : parts_{std::move(parts)}
 {}
 
-http_exchange::~http_exchange() = default;
+http_exchange::~http_exchange()
+{
+    parts_->keep_open();
+}
 
 http_request const& http_exchange::request() const
 {
@@ -133,6 +154,7 @@
     if (parts_->silent()) {
         return;
     }
+    *parts_->ended = true;
     auto response = parts_->handle->create_response<whole>(status_line(code));
     bool typed = false;
     for (auto& [name, value] : headers) {
@@ -152,6 +174,7 @@
     if (parts_->silent()) {
         return;
     }
+    *parts_->ended = true;
     auto response = parts_->handle->create_response<partial>(status_line(code));
     response.set_content_length(body.size());
     response.append_header("Content-Type", "application/json");
@@ -177,12 +200,13 @@
         return;
     }
     parts_->stream->append_chunk(std::move(chunk));
-    parts_->stream->flush(
-        [flushed = std::move(flushed)](asio::error_code const& failure) {
-            if (flushed) {
-                flushed(!failure);
-            }
-        });
+    parts_->stream->flush([flushed = std::move(flushed), ended = parts_->ended](
+                              asio::error_code const& failure) {
+        *ended = *ended || failure;
+        if (flushed) {
+            flushed(!failure);
+        }
+    });
 }
 
 void http_exchange::finish()
@@ -190,6 +214,7 @@
     if (parts_->silent() || !parts_->stream) {
         return;
     }
+    *parts_->ended = true;
     parts_->stream->done();
 }
 
@@ -197,6 +222,7 @@
 {
     auto const owner = parts_->host.lock();
     if (owner && !parts_->silent()) {
+        *parts_->ended = true;
         owner->drop_one(parts_->handle->remote_endpoint());
     }
 }
@@ -243,7 +269,11 @@
     std::weak_ptr<implementation> const owner = parts_;
     auto const serve = [owner](restinio::request_handle_t received) {
         auto const host = owner.lock();
-        if (!host || host->silent(received->connection_id())) {
+        if (!host) {
+            return restinio::request_rejected();
+        }
+        if (host->silent(received->connection_id())) {
+            host->unanswered.push_back({std::move(received), nullptr});
             return restinio::request_accepted();
         }
         host->latest_connection =
@@ -288,6 +318,7 @@
     parts_->http->close_sync();
     parts_->http.reset();
     parts_->drop_all();
+    parts_->unanswered.clear();
     parts_->silent_up_to = 0;
     parts_->latest_connection = 0;
 }
--- a/tests/standins/src/stream_reader.cpp
+++ b/tests/standins/src/stream_reader.cpp
@@ -83,8 +83,7 @@
 
 bool stream_reader::ended() const
 {
-    return stream_->state == stream_state::finished ||
-           stream_->state == stream_state::cancelled;
+    return idle(*stream_);
 }
 
 void stream_reader::send(std::string text)
