--- a/tests/standins/src/platform_standin.cpp
+++ b/tests/standins/src/platform_standin.cpp
@@ -4,6 +4,7 @@
 #include "json_replies.hpp"
 #include "rate_cap.hpp"
 #include "switch_reader.hpp"
+#include "switch_request.hpp"
 
 #include <medlarstall/platform/record_log.hpp>
 
@@ -360,25 +361,9 @@
 
 void platform_standin::implementation::switch_request(http_exchange& exchange)
 {
-    auto object = json::parse(exchange.request().body, nullptr, false);
-    if (!object.is_object()) {
-        reply_error(exchange, 400, "not a JSON object");
-        return;
-    }
-    bool const silence = object.value("silence_open_connections", false);
-    object.erase("silence_open_connections");
-    auto changed = switches;
-    auto const outcome = read_switches(object, changed);
-    if (failed(outcome)) {
-        reply_error(exchange, 400,
-                    error_of(outcome).field + ": " + error_of(outcome).message);
-        return;
-    }
-    exchange.reply(200, "{}");
-    if (silence) {
-        host->silence_open_connections();
+    if (auto const changed = take_switch_request(exchange, *host, switches)) {
+        apply(*changed);
     }
-    apply(changed);
 }
 
 void platform_standin::implementation::apply(platform_switches const& changed)
--- a/tests/standins/src/service_standin.cpp
+++ b/tests/standins/src/service_standin.cpp
@@ -2,6 +2,7 @@
 
 #include "json_replies.hpp"
 #include "switch_reader.hpp"
+#include "switch_request.hpp"
 
 #include <medlarstall/standins/text_model.hpp>
 
@@ -156,25 +157,9 @@
 
 void service_standin::implementation::switch_request(http_exchange& exchange)
 {
-    auto object = json::parse(exchange.request().body, nullptr, false);
-    if (!object.is_object()) {
-        reply_error(exchange, 400, "not a JSON object");
-        return;
-    }
-    bool const silence = object.value("silence_open_connections", false);
-    object.erase("silence_open_connections");
-    auto changed = switches;
-    auto const outcome = read_switches(object, changed);
-    if (failed(outcome)) {
-        reply_error(exchange, 400,
-                    error_of(outcome).field + ": " + error_of(outcome).message);
-        return;
-    }
-    exchange.reply(200, "{}");
-    if (silence) {
-        host->silence_open_connections();
+    if (auto const changed = take_switch_request(exchange, *host, switches)) {
+        apply(*changed);
     }
-    apply(changed);
 }
 
 void service_standin::implementation::apply(service_switches const& changed)
