Test claims that an owner refused

Cause: claim_engine::withdrawn had no test. Change: the model of a daemon has runs refused by their owner, which it gives back. Conclusion: a withdrawn attempt never runs, and its key can be run later.

--- a/tests/libclaim/claim_world.cpp
+++ b/tests/libclaim/claim_world.cpp
@@ -164,10 +164,16 @@
         }
         return;
     }
-    if (model.engine->dispatched(run.attempt)) {
-        execute(run);
-        model.running.push_back(run);
+    if (!model.engine->dispatched(run.attempt)) {
+        return;
+    }
+    if (how % 8 == 1) { // Its owner refused it.
+        tell(daemon, run.id, history::verdict::not_run);
+        perform(daemon, model.engine->withdrawn(run.attempt, now()));
+        return;
     }
+    execute(run);
+    model.running.push_back(run);
 }
 
 void claim_world::finish_run(std::size_t daemon, std::size_t choice, bool known)
@@ -290,7 +296,7 @@
                 read(i, stream, 1'000);
             }
             while (!daemons_[i].offered.empty()) {
-                run_attempt(i, 0, 1);
+                run_attempt(i, 0, 2);
             }
             while (!daemons_[i].running.empty()) {
                 finish_run(i, 0, true);
