--- a/cmake/MedlarstallPackage.cmake
+++ b/cmake/MedlarstallPackage.cmake
@@ -3,10 +3,12 @@
 
 find_package(Threads REQUIRED)
 find_package(PkgConfig REQUIRED)
-find_package(Boost 1.74 REQUIRED COMPONENTS log unit_test_framework)
+find_package(Boost 1.74 REQUIRED COMPONENTS log log_setup
+    unit_test_framework)
 find_package(nlohmann_json REQUIRED)
 find_package(OpenSSL REQUIRED)
 find_package(CURL REQUIRED)
+find_package(prometheus-cpp REQUIRED)
 pkg_check_modules(nghttp2 REQUIRED IMPORTED_TARGET libnghttp2)
 pkg_check_modules(xxhash REQUIRED IMPORTED_TARGET libxxhash)
 pkg_check_modules(pugixml REQUIRED IMPORTED_TARGET pugixml)
--- a/src/libbackend/src/curl_multi.cpp
+++ b/src/libbackend/src/curl_multi.cpp
@@ -83,16 +83,28 @@
     auto const id = next_id_++;
     auto made = std::make_unique<transfer>(id, std::move(request),
                                            std::move(handlers), settings_);
-    auto* const handle = made->handle();
     bool const watches = made->watches_silence();
     transfers_.emplace(id, std::move(made));
-    curl_multi_add_handle(multi_, handle);
+    if (acting_) {
+        // libcurl forbids adding a handle from within its callbacks.
+        added_.push_back(id);
+    } else {
+        add(id);
+    }
     if (watches) {
         watch_silence();
     }
     return id;
 }
 
+void curl_multi::add(transfer_id id)
+{
+    auto const found = transfers_.find(id);
+    if (found != transfers_.end()) {
+        curl_multi_add_handle(multi_, found->second->handle());
+    }
+}
+
 void curl_multi::pause(transfer_id id)
 {
     auto const found = transfers_.find(id);
@@ -277,6 +289,9 @@
     for (auto const id : std::exchange(cancelled_, {})) {
         remove(id);
     }
+    for (auto const id : std::exchange(added_, {})) {
+        add(id);
+    }
     int left = 0;
     while (multi_ != nullptr) {
         auto const* const message = curl_multi_info_read(multi_, &left);
--- a/src/libdaemon/include/medlarstall/daemon/daemon_settings.hpp
+++ b/src/libdaemon/include/medlarstall/daemon/daemon_settings.hpp
@@ -24,7 +24,7 @@
     std::string peer_secret;     ///< Shared by all daemons.
     bool standalone = false;     ///< Runs without a platform.
     std::string catalogue_text;  ///< JSON; the first catalogue if standalone.
-    std::vector<std::string> platform_urls; ///< Tried in this order.
+    std::vector<std::string> platform_addresses; ///< IP:PORT, tried in turn.
     /// SHA-256 of the key that may publish into an empty catalogue.
     std::string bootstrap_key_digest;
     std::size_t max_json_depth = 32;
@@ -34,7 +34,7 @@
     std::size_t stream_buffer_bytes = std::size_t{64} * 1024;
     std::chrono::milliseconds directory_ttl{2'000};
     std::chrono::milliseconds drain_margin{1'000};
-    std::chrono::milliseconds drain_bound{60'000}; ///< Longest stop.
+    std::chrono::milliseconds drain_bound{60'000};       ///< Longest stop.
     std::chrono::milliseconds log_retention{86'400'000}; ///< Of the platform.
     std::size_t claim_streams = 8;
     std::uint64_t seed = 0; ///< Of the random numbers; 0: random.
--- a/src/libdaemon/src/entry_service.cpp
+++ b/src/libdaemon/src/entry_service.cpp
@@ -1,6 +1,7 @@
 #include "entry_service.hpp"
 
 #include "chat_call.hpp"
+#include "claimed_call.hpp"
 #include "node.hpp"
 #include "service_call.hpp"
 
@@ -62,7 +63,9 @@
 
 } // namespace
 
-entry_service::entry_service(node& shared) : node_{shared} {}
+entry_service::entry_service(node& shared, claim_service& claims)
+    : node_{shared}, claims_{claims}
+{}
 
 std::variant<catalogue::organisation const*, api_error>
 entry_service::authenticate(entry::http_request const& request) const
@@ -224,6 +227,13 @@
     request.resumable = false;
     auto const fingerprint =
         routing::fingerprint_of(request.organisation, http.body);
+    if (!asked.repeatable) {
+        std::make_shared<claimed_call>(node_, claims_, std::move(caller),
+                                       std::move(asked), std::move(request),
+                                       fingerprint)
+            ->start();
+        return;
+    }
     auto const attempt = to_string(node_.new_uuid());
     std::make_shared<service_call>(node_, std::move(caller), std::move(asked),
                                    std::move(request), fingerprint, nullptr)
--- a/src/libdaemon/src/entry_service.hpp
+++ b/src/libdaemon/src/entry_service.hpp
@@ -18,6 +18,7 @@
 
 namespace medlarstall::daemon {
 
+class claim_service;
 struct node;
 
 /// Who calls, and with which class.
@@ -33,7 +34,8 @@
 {
 public:
     /// \param shared parts of this daemon
-    explicit entry_service(node& shared);
+    /// \param claims claims of this daemon
+    entry_service(node& shared, claim_service& claims);
 
     /// Handles POST /v1/chat/completions.
     void chat(std::shared_ptr<entry::exchange> caller);
@@ -57,6 +59,7 @@
     quarantined(std::uint64_t fingerprint, scheduling::request& request) const;
 
     node& node_;
+    claim_service& claims_;
 };
 
 } // namespace medlarstall::daemon
--- a/src/libdaemon/src/owned_order.hpp
+++ b/src/libdaemon/src/owned_order.hpp
@@ -1,8 +1,8 @@
 #ifndef MEDLARSTALL_DAEMON_OWNED_ORDER_HPP
 #define MEDLARSTALL_DAEMON_OWNED_ORDER_HPP
 
-#include "backend_server_info.hpp"
 #include "event_sink.hpp"
+#include "fleet.hpp"
 #include "work_order.hpp"
 
 #include <medlarstall/backend/engine_stream.hpp>
--- a/src/medlarstalld/main.cpp
+++ b/src/medlarstalld/main.cpp
@@ -50,8 +50,8 @@
     set.add_number("peer-port", "Port for other daemons; 0 picks one", 0,
                    last_port, to.peer_port);
     set.add("peer-secret", "Secret that all daemons share", to.peer_secret);
-    set.add_list("platform", "Base URL of the platform; may be repeated",
-                 to.platform_urls);
+    set.add_list("platform", "IP:PORT of the platform; may be repeated",
+                 to.platform_addresses);
     set.add_switch("standalone", "Run without a platform", to.standalone);
     set.add("catalogue", "File with the first catalogue, for --standalone",
             target.catalogue_file);
@@ -122,9 +122,9 @@
                          error_of(read).message};
         }
     }
-    if (daemon.standalone == !daemon.platform_urls.empty()) {
+    if (daemon.standalone == !daemon.platform_addresses.empty()) {
         return error{"--standalone",
-                     "give either --standalone or --platform URL"};
+                     "give either --standalone or --platform IP:PORT"};
     }
     if (daemon.standalone && settings.catalogue_file.empty()) {
         return error{"--catalogue", "is required with --standalone"};
