Take summaries that their owner does not number

Cause: owner_scheduler leaves the sequence of its summaries at 0, and the router dropped every summary but the first as old: it was blind after that. Change: sequence 0 stands for "not numbered" and is always news.

--- a/src/libdaemon/include/medlarstall/daemon/daemon_settings.hpp
+++ b/src/libdaemon/include/medlarstall/daemon/daemon_settings.hpp
@@ -34,7 +34,7 @@
     std::size_t stream_buffer_bytes = std::size_t{64} * 1024;
     std::chrono::milliseconds directory_ttl{2'000};
     std::chrono::milliseconds drain_margin{1'000};
-    std::chrono::milliseconds drain_bound{60'000}; ///< Longest stop.
+    std::chrono::milliseconds drain_bound{60'000};       ///< Longest stop.
     std::chrono::milliseconds log_retention{86'400'000}; ///< Of the platform.
     std::size_t claim_streams = 8;
     std::uint64_t seed = 0; ///< Of the random numbers; 0: random.
--- a/src/libdaemon/src/catalogue_view.hpp
+++ b/src/libdaemon/src/catalogue_view.hpp
@@ -15,7 +15,7 @@
 {
     std::shared_ptr<catalogue::catalogue_in_force const> in_force;
     std::shared_ptr<catalogue::catalogue const> entries; ///< Of in_force.
-    std::uint64_t version = 0; ///< Offset in the log.
+    std::uint64_t version = 0;                           ///< Offset in the log.
     std::string digest;
 
     /// \return false until a catalogue was put in force
--- a/src/librouting/include/medlarstall/routing/fleet_view.hpp
+++ b/src/librouting/include/medlarstall/routing/fleet_view.hpp
@@ -79,7 +79,8 @@
     /// \param settings how old summaries are read
     explicit fleet_view(fleet_view_settings settings = {});
 
-    /// Takes in a summary; one that is older than the last is dropped.
+    /// Takes in a summary; one that is older than the last of its owner by
+    /// its sequence is dropped. Sequence 0 stands for "not numbered".
     /// \param summary summary from the owner of a backend server
     /// \param now current time
     /// \return the number of the backend server
--- a/src/librouting/src/fleet_view.cpp
+++ b/src/librouting/src/fleet_view.cpp
@@ -21,11 +21,13 @@
            std::ranges::find(server.models, model) != server.models.end();
 }
 
-/// A summary is news if its owner is new or its sequence is higher.
+/// A summary is news if its owner is new, its sequence is higher, or its owner
+/// does not number summaries.
 bool is_news(backend_server_view const& server,
              scheduling::backend_server_summary const& summary)
 {
-    return !server.known || server.summary.owner != summary.owner ||
+    return !server.known || summary.sequence == 0 ||
+           server.summary.owner != summary.owner ||
            summary.sequence > server.summary.sequence;
 }
 
--- a/tests/librouting/router_test.cpp
+++ b/tests/librouting/router_test.cpp
@@ -145,6 +145,22 @@
     BOOST_TEST(chosen.chosen()->owner == "d1");
 }
 
+BOOST_AUTO_TEST_CASE(drops_old_summaries_and_takes_unnumbered_ones)
+{
+    auto router = make_router();
+    auto const limit_after = [&](std::uint64_t sequence, unsigned limit) {
+        auto summary = idle_server("s0", "d0", sequence);
+        summary.limit = limit;
+        router.take_summary(summary, at_ms(0));
+        return router.view().at(0).summary.limit;
+    };
+    BOOST_TEST(limit_after(5, 1) == 1U);
+    BOOST_TEST(limit_after(4, 2) == 1U);
+    BOOST_TEST(limit_after(6, 3) == 3U);
+    BOOST_TEST(limit_after(0, 4) == 4U);
+    BOOST_TEST(limit_after(0, 5) == 5U);
+}
+
 BOOST_AUTO_TEST_CASE(probes_once_and_uses_ejected_servers_as_a_last_resort)
 {
     auto router = make_router();
