Let callers resend cut-off answers in the policy measurement

Cause: a caller whose daemon was lost sends its request again; the measurement counted it as lost for good, and it counted the tokens of long answers that no system could have made by the end of a run as withheld.

--- a/bench/policy/figures.cpp
+++ b/bench/policy/figures.cpp
@@ -76,6 +76,15 @@
     double served = 0;
 };
 
+/// Tokens of a request that can be made by the end of the run at the pace that
+/// its class promises; long answers last beyond it.
+double tokens_due(arrival const& request, catalogue::service_class const& c)
+{
+    double const possible =
+        (run_length - request.at) / seconds{c.targets.between_tokens};
+    return std::min<double>(request.output_tokens, possible);
+}
+
 double longest_gap(std::vector<duration> const& served)
 {
     double longest = 0;
@@ -125,6 +134,8 @@
     std::vector<double> first_tokens;
     std::vector<double> short_ends;
     std::vector<organisation_tokens> tokens(place.organisations);
+    std::vector<std::vector<organisation_tokens>> class_tokens(
+        class_names().size(), tokens);
     for (std::size_t i = 0; i < arrivals.size(); ++i) {
         auto const& request = arrivals[i];
         auto const& seen = record.outcomes()[i];
@@ -150,8 +161,13 @@
                 crest.add(ok);
             }
         }
-        tokens[request.organisation].asked += request.output_tokens;
-        tokens[request.organisation].served += seen.tokens;
+        auto const due = tokens_due(request, c);
+        auto const served = std::min(due, double(seen.tokens));
+        tokens[request.organisation].asked += due;
+        tokens[request.organisation].served += served;
+        class_tokens[request.service_class][request.organisation].asked += due;
+        class_tokens[request.service_class][request.organisation].served +=
+            served;
         if (seen.first_token && request.service_class < 2) {
             first_tokens.push_back(milliseconds(*seen.first_token));
         }
@@ -186,6 +202,10 @@
     all["first-token-p99"] = percentile(first_tokens, p99);
     all["short-work-p99"] = percentile(short_ends, p99);
     all["small-share-least"] = least_share(place, tokens);
+    for (std::size_t c = 0; c < classes.size(); ++c) {
+        all["small-share-least-" + class_names()[c]] =
+            least_share(place, class_tokens[c]);
+    }
     all["lowest-class-gap"] = longest_gap(record.lowest_served());
     return all;
 }
--- a/bench/policy/main.cpp
+++ b/bench/policy/main.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr seconds drain_length{20};
+constexpr duration caller_resends_after = std::chrono::seconds{1};
 constexpr std::size_t slowed_first = 1;
 constexpr std::size_t crashing = 3;
 constexpr std::size_t lost_daemon = 2;
@@ -57,6 +58,10 @@
     backend_pool pool{events, place};
     recorder record{events, arrivals};
     System system{events, pool, record, arrivals, args...};
+    record.on_resend = [&](std::size_t call) {
+        events.after(caller_resends_after,
+                     [&system, call] { system.submit(call); });
+    };
     auto const entries = make_catalogue(place);
     for (std::size_t call = 0; call < arrivals.size(); ++call) {
         auto const& c =
--- a/bench/policy/medlarstall_fleet.cpp
+++ b/bench/policy/medlarstall_fleet.cpp
@@ -142,6 +142,7 @@
 void medlarstall_fleet::submit(std::size_t call)
 {
     auto& state = calls_[call];
+    state = call_state{};
     auto const& what = arrivals_[call];
     do {
         state.entry = random_() % daemons_.size();
