Prefill by priority in the fake engine

Cause: engines honour priorities, the fake one prefilled in order of arrival; urgent requests waited 2 s behind the prefill of others. Change: streams are prefilled by priority under every policy that sends one.

--- a/bench/policy/baseline.cpp
+++ b/bench/policy/baseline.cpp
@@ -64,8 +64,14 @@
         while (!waiting.empty()) {
             auto const call = waiting.front();
             auto const& what = arrivals_[call];
-            engine_work const work{call, what.document, what.document_tokens,
-                                   what.prompt_tokens, what.output_tokens};
+            engine_work const work{call,
+                                   what.document,
+                                   what.document_tokens,
+                                   what.prompt_tokens,
+                                   what.output_tokens,
+                                   0,
+                                   false,
+                                   unsigned(lane(call))};
             if (!pool_.members[server].engine->start(work)) {
                 return;
             }
--- a/bench/policy/fake_engine.cpp
+++ b/bench/policy/fake_engine.cpp
@@ -55,7 +55,10 @@
         started.prefill_left -=
             std::min(started.prefill_left, work.document_tokens);
     }
-    streams_.push_back(started);
+    auto const later = std::ranges::upper_bound(
+        streams_, work.priority, {},
+        [](stream const& s) { return s.work.priority; });
+    streams_.insert(later, started);
     schedule_step();
     return true;
 }
--- a/bench/policy/fake_engine.hpp
+++ b/bench/policy/fake_engine.hpp
@@ -44,10 +44,11 @@
     std::uint32_t output_tokens = 0;
     std::uint32_t made = 0;   ///< Tokens made by an earlier attempt.
     bool keeps_cache = false; ///< The earlier attempt ran here.
+    unsigned priority = 0;    ///< Lower numbers are prefilled first.
 };
 
-/// A stand-in for a model engine with continuous batching, chunked prefill,
-/// a prefix cache, slowdowns and crashes, in virtual time.
+/// A stand-in for a model engine with continuous batching, chunked prefill in
+/// order of priority, a prefix cache, slowdowns and crashes, in virtual time.
 class fake_engine
 {
 public:
@@ -111,7 +112,7 @@
 
     event_queue& events_;
     engine_speed speed_;
-    std::vector<stream> streams_;
+    std::vector<stream> streams_;      ///< By priority, then by start.
     std::deque<std::uint32_t> cached_; ///< Most recently used first.
     std::uint64_t epoch_ = 0;
     bool stepping_ = false;
--- a/bench/policy/medlarstall_fleet_events.cpp
+++ b/bench/policy/medlarstall_fleet_events.cpp
@@ -61,7 +61,8 @@
                            what.prompt_tokens,
                            what.output_tokens,
                            a.made,
-                           a.made > 0 && a.ran_on == server};
+                           a.made > 0 && a.ran_on == server,
+                           calls_[a.call].request.tier};
     if (pool_.members[server].engine->start(work)) {
         a.running = true;
         a.server = server;
