Serve requests that can meet their target before late ones

Cause: at twice the capacity every request of a lower tier waited until just before its deadline, so nearly none met its first-token target; a request that had been preempted twice, or was started by a floor, kept its slot however long it grew. Conclusion: overload now costs the requests that are late anyway.

--- a/src/libscheduling/include/medlarstall/scheduling/fair_queue.hpp
+++ b/src/libscheduling/include/medlarstall/scheduling/fair_queue.hpp
@@ -22,20 +22,23 @@
 /// Stands for the requests of a queue that the same backend servers can run.
 using lane_index = std::uint32_t;
 
-/// Orders the requests of one organisation: earliest deadline first.
+/// Orders the requests of one organisation: the least time left first, to
+/// meet the first-token target or, once that is missed, the deadline.
 struct queue_position
 {
-    time_point deadline;
+    bool late = false; ///< The first-token target is missed.
+    time_point due;
     request_id id = 0;
     request_record* record = nullptr; ///< Not looked at by the queue.
 
     auto operator<=>(queue_position const& other) const
     {
-        return std::tie(deadline, id) <=> std::tie(other.deadline, other.id);
+        return std::tie(late, due, id) <=>
+               std::tie(other.late, other.due, other.id);
     }
     bool operator==(queue_position const& other) const
     {
-        return deadline == other.deadline && id == other.id;
+        return (*this <=> other) == 0;
     }
 };
 
@@ -67,8 +70,10 @@
 
 /// Weighted fair queue over the organisations of one tier. The organisation
 /// with the fewest served tokens for its weight comes first; within it the
-/// earliest deadline. Every operation takes O(log n) for n organisations;
-/// charging allocates nothing.
+/// order of queue_position. Requests that can still meet their target come
+/// before late ones, but these get one turn in eight, and more for an
+/// organisation that is behind the others. Every operation takes O(log n) for n
+/// organisations; charging allocates nothing.
 class fair_queue
 {
 public:
@@ -118,16 +123,17 @@
     /// Gives the first requests of an organisation in a lane.
     /// \param organisation whose requests
     /// \param lane lane to look at
-    /// \return positions in order of deadline, or null if there are none
+    /// \param late true for the late ones
+    /// \return positions in order, or null if there are none
     [[nodiscard]] std::set<queue_position> const*
-    line(organisation_index organisation, lane_index lane) const;
+    line(organisation_index organisation, lane_index lane, bool late) const;
 
-    /// Notes that a request of this organisation is served now; call before
-    /// it is erased and charged.
-    /// \param organisation who is served
-    void advance(organisation_index organisation);
+    /// Notes that a request is served now; call before it is erased and
+    /// charged.
+    /// \param entry the request, as it was pushed
+    void advance(queue_entry const& entry);
 
-    /// \return the request to shed first: the latest deadline of the
+    /// \return the request to shed first: the last in the order of the
     ///     organisation furthest over its entitlement, if all that it has
     ///     queued were served
     [[nodiscard]] std::optional<request_id> most_over_entitlement() const;
@@ -176,7 +182,7 @@
 
     struct lane_line
     {
-        lane_index lane = 0;
+        lane_index lane = 0; ///< As line_index() gives it.
         unsigned urgent = 0;
         std::set<queue_position> positions;
     };
@@ -193,13 +199,16 @@
         std::set<queue_position> sheddable;
     };
 
+    [[nodiscard]] std::optional<candidate>
+    front(std::span<lane_index const> lanes, bool late) const;
     account& at(organisation_index organisation);
     void begin_waiting(account& member) const;
     void set_served(organisation_index organisation, account& member,
                     double served);
     void update_over(organisation_index organisation, account& member);
-    static lane_line& line_of(account& member, lane_index lane);
-    std::set<rank>& ready_of(lane_index lane);
+    static lane_index line_index(lane_index lane, bool late);
+    static lane_line& line_of(account& member, lane_index line);
+    std::set<rank>& ready_of(lane_index line);
     unsigned& urgent_of(lane_index lane);
 
     double most_lead_tokens_;
@@ -208,7 +217,8 @@
     std::size_t size_ = 0;
     std::size_t sheddable_ = 0;
     std::vector<account> accounts_;
-    std::vector<std::set<rank>> ready_; ///< By lane.
+    unsigned turns_ = 0; ///< Requests served since a late one was.
+    std::vector<std::set<rank>> ready_; ///< By line_index().
     std::vector<unsigned> urgent_;      ///< By lane, without the blocked.
     std::set<rank> over_;
 };
--- a/src/libscheduling/include/medlarstall/scheduling/scheduler_settings.hpp
+++ b/src/libscheduling/include/medlarstall/scheduling/scheduler_settings.hpp
@@ -33,17 +33,17 @@
     /// Most requests of a group that wait, for each slot that it has.
     unsigned queued_per_slot = 32;
     /// Part of a group's limit that long requests may hold while others wait.
-    double long_part = 0.25;
+    double long_part = 0.125;
     /// A request is long above this multiple of the usual output.
-    double long_factor = 8.0;
+    double long_factor = 4.0;
     /// A request below this number of output tokens is never long.
-    std::uint32_t long_least_tokens = 512;
+    std::uint32_t long_least_tokens = 256;
     /// Output tokens of a request before any has finished.
     std::uint32_t usual_output_tokens = 128;
     /// A tier that waits this long without service gets the next freed slot.
     std::chrono::milliseconds longest_gap{4000};
-    /// A request that was preempted this often is not preempted again.
-    unsigned most_preemptions = 2;
+    /// Tokens that a request makes between two preemptions of it.
+    std::uint32_t least_run_tokens = 64;
     /// Time that cancelling a victim and starting in its place may take.
     std::chrono::milliseconds preemption_time{20};
     /// Requests are refused early if the wait is this multiple of what is
--- a/src/libscheduling/src/fair_queue.cpp
+++ b/src/libscheduling/src/fair_queue.cpp
@@ -1,12 +1,19 @@
 #include <medlarstall/scheduling/fair_queue.hpp>
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 namespace medlarstall::scheduling {
 
 namespace {
 
+/// One request in this many is a late one, if any wait.
+constexpr unsigned late_turn = 8;
+/// An organisation with a weight of 1 that is this many tokens behind is
+/// served although its requests are late.
+constexpr double most_behind_tokens = 1000;
+
 /// Moves a key within a set without allocating.
 template<class Key>
 void move_key(std::set<Key>& keys, Key const& from, Key const& to)
@@ -45,15 +52,15 @@
     member.blocked = blocked;
     rank const key{member.served, organisation};
     for (auto const& line : member.lines) {
+        auto& urgent = urgent_of(line.lane / 2);
+        urgent = blocked ? urgent - line.urgent : urgent + line.urgent;
         if (line.positions.empty()) {
             continue;
         }
         if (blocked) {
             ready_of(line.lane).erase(key);
-            urgent_of(line.lane) -= line.urgent;
         } else {
             ready_of(line.lane).insert(key);
-            urgent_of(line.lane) += line.urgent;
         }
     }
 }
@@ -67,9 +74,10 @@
     }
     ++member.queued;
     ++size_;
-    auto& line = line_of(member, entry.lane);
+    auto const index = line_index(entry.lane, entry.position.late);
+    auto& line = line_of(member, index);
     if (line.positions.empty() && !member.blocked) {
-        ready_of(entry.lane).insert({member.served, entry.organisation});
+        ready_of(index).insert({member.served, entry.organisation});
     }
     line.positions.insert(entry.position);
     member.backlog += entry.tokens;
@@ -87,14 +95,15 @@
 void fair_queue::erase(queue_entry const& entry)
 {
     auto& member = at(entry.organisation);
-    auto& line = line_of(member, entry.lane);
+    auto const index = line_index(entry.lane, entry.position.late);
+    auto& line = line_of(member, index);
     if (line.positions.erase(entry.position) == 0) {
         return;
     }
     --member.queued;
     --size_;
     if (line.positions.empty() && !member.blocked) {
-        ready_of(entry.lane).erase({member.served, entry.organisation});
+        ready_of(index).erase({member.served, entry.organisation});
     }
     member.backlog = member.queued == 0 ? 0 : member.backlog - entry.tokens;
     if (member.queued == 0) {
@@ -127,15 +136,31 @@
 
 std::optional<fair_queue::candidate>
 fair_queue::front(std::span<lane_index const> lanes) const
+{
+    auto const in_time = front(lanes, false);
+    auto const late = front(lanes, true);
+    if (!in_time || !late) {
+        return in_time ? in_time : late;
+    }
+    auto const behind =
+        most_behind_tokens / accounts_[late->organisation].weight;
+    bool const late_first =
+        turns_ + 1 >= late_turn || late->served + behind < in_time->served;
+    return late_first ? late : in_time;
+}
+
+std::optional<fair_queue::candidate>
+fair_queue::front(std::span<lane_index const> lanes, bool late) const
 {
     std::optional<candidate> best;
     rank best_rank;
     for (auto const lane : lanes) {
-        if (!ready(lane)) {
+        auto const index = line_index(lane, late);
+        if (index >= ready_.size() || ready_[index].empty()) {
             continue;
         }
-        auto const first = *ready_[lane].begin();
-        auto const& position = *line(first.organisation, lane)->begin();
+        auto const first = *ready_[index].begin();
+        auto const& position = *line(first.organisation, lane, late)->begin();
         if (!best || first < best_rank ||
             (first == best_rank && position < best->position)) {
             best_rank = first;
@@ -146,22 +171,25 @@
 }
 
 std::set<queue_position> const*
-fair_queue::line(organisation_index organisation, lane_index lane) const
+fair_queue::line(organisation_index organisation, lane_index lane,
+                 bool late) const
 {
     if (organisation >= accounts_.size()) {
         return nullptr;
     }
+    auto const index = line_index(lane, late);
     for (auto const& line : accounts_[organisation].lines) {
-        if (line.lane == lane && !line.positions.empty()) {
+        if (line.lane == index && !line.positions.empty()) {
             return &line.positions;
         }
     }
     return nullptr;
 }
 
-void fair_queue::advance(organisation_index organisation)
+void fair_queue::advance(queue_entry const& entry)
 {
-    virtual_time_ = std::max(virtual_time_, at(organisation).served);
+    virtual_time_ = std::max(virtual_time_, at(entry.organisation).served);
+    turns_ = entry.position.late ? 0 : turns_ + 1;
 }
 
 std::optional<request_id> fair_queue::most_over_entitlement() const
@@ -175,7 +203,10 @@
 
 bool fair_queue::ready(lane_index lane) const
 {
-    return lane < ready_.size() && !ready_[lane].empty();
+    return std::ranges::any_of(std::array{false, true}, [&](bool late) {
+        auto const index = line_index(lane, late);
+        return index < ready_.size() && !ready_[index].empty();
+    });
 }
 
 bool fair_queue::ready() const
@@ -188,7 +219,7 @@
                               int change)
 {
     auto& member = at(organisation);
-    line_of(member, lane).urgent += unsigned(change);
+    line_of(member, line_index(lane, false)).urgent += unsigned(change);
     if (!member.blocked) {
         urgent_of(lane) += unsigned(change);
     }
@@ -256,22 +287,27 @@
     member.over = over;
 }
 
-fair_queue::lane_line& fair_queue::line_of(account& member, lane_index lane)
+lane_index fair_queue::line_index(lane_index lane, bool late)
+{
+    return 2 * lane + (late ? 1 : 0);
+}
+
+fair_queue::lane_line& fair_queue::line_of(account& member, lane_index line)
 {
-    for (auto& line : member.lines) {
-        if (line.lane == lane) {
-            return line;
+    for (auto& each : member.lines) {
+        if (each.lane == line) {
+            return each;
         }
     }
-    return member.lines.emplace_back(lane_line{lane, 0, {}});
+    return member.lines.emplace_back(lane_line{line, 0, {}});
 }
 
-std::set<fair_queue::rank>& fair_queue::ready_of(lane_index lane)
+std::set<fair_queue::rank>& fair_queue::ready_of(lane_index line)
 {
-    if (lane >= ready_.size()) {
-        ready_.resize(lane + 1);
+    if (line >= ready_.size()) {
+        ready_.resize(line + 1);
     }
-    return ready_[lane];
+    return ready_[line];
 }
 
 unsigned& fair_queue::urgent_of(lane_index lane)
--- a/src/libscheduling/src/owner_scheduler_state.cpp
+++ b/src/libscheduling/src/owner_scheduler_state.cpp
@@ -118,12 +118,12 @@
     if (server != nullptr && !record->first_seen) {
         group.observe_first_token(*record, now);
     }
-    group.observe_tokens(*record, count, now);
+    auto const new_victim = group.observe_tokens(*record, count, now);
     if (refresh_limits(record->entry.organisation, now)) {
         ask_for_wake_up(now, actions);
     }
-    if (server != nullptr && server->limit(now) > before &&
-        group.queued() > 0) {
+    auto const grown = server != nullptr && server->limit(now) > before;
+    if ((grown || new_victim) && group.queued() > 0) {
         settle(group, now, actions);
     }
 }
--- a/src/libscheduling/src/preemption_policy.cpp
+++ b/src/libscheduling/src/preemption_policy.cpp
@@ -6,8 +6,13 @@
 
 bool preemption_policy::displaceable(request_record const& record) const
 {
-    if (record.state != request_state::running || record.by_floor ||
-        record.preemptions >= most_preemptions_) {
+    // What a floor gave is kept, except by a request that grows long.
+    if (record.state != request_state::running ||
+        (record.by_floor && !record.is_long)) {
+        return false;
+    }
+    auto const made = record.tokens - record.tokens_before;
+    if (record.preemptions > 0 && made < least_run_tokens_) {
         return false;
     }
     auto const& value = record.value;
--- a/src/libscheduling/src/preemption_policy.hpp
+++ b/src/libscheduling/src/preemption_policy.hpp
@@ -3,6 +3,7 @@
 
 #include "request_record.hpp"
 
+#include <cstdint>
 #include <span>
 
 namespace medlarstall::scheduling {
@@ -11,9 +12,10 @@
 class preemption_policy
 {
 public:
-    /// \param most_preemptions how often a request may be preempted
-    explicit preemption_policy(unsigned most_preemptions)
-        : most_preemptions_{most_preemptions}
+    /// \param least_run_tokens tokens that a request makes between two
+    ///     preemptions
+    explicit preemption_policy(std::uint32_t least_run_tokens)
+        : least_run_tokens_{least_run_tokens}
     {}
 
     /// \param record a request
@@ -32,17 +34,20 @@
     /// Chooses a victim.
     /// \param running requests that run
     /// \param tier tier to make room for; victims are less important
+    /// \param long_too true if long requests of the same tier are victims too
     /// \param fits says whether the slot of a victim would help
     /// \return the victim, or null if there is none
     template<class Fits>
     [[nodiscard]] request_record*
     choose(std::span<request_record* const> running, unsigned tier,
-           Fits const& fits) const
+           bool long_too, Fits const& fits) const
     {
         request_record* best = nullptr;
         for (auto* const record : running) {
-            if (record->value.tier <= tier || !displaceable(*record) ||
-                !fits(*record)) {
+            auto const less_important =
+                record->value.tier > tier ||
+                (long_too && record->value.tier == tier && record->is_long);
+            if (!less_important || !displaceable(*record) || !fits(*record)) {
                 continue;
             }
             if (!best || better(*record, *best)) {
@@ -53,7 +58,7 @@
     }
 
 private:
-    unsigned most_preemptions_;
+    std::uint32_t least_run_tokens_;
 };
 
 } // namespace medlarstall::scheduling
--- a/src/libscheduling/src/request_record.hpp
+++ b/src/libscheduling/src/request_record.hpp
@@ -37,15 +37,17 @@
     bool counted = false;             ///< Took its part of the request limit.
     bool by_floor = false;            ///< Its floor gave it the slot.
     bool is_long = false;             ///< Counted by the straggler gate.
-    bool urgent = false;              ///< Counted as urgent by its queue.
-    bool first_seen = false;          ///< First token of this run came.
+    bool long_victim = false; ///< Was long when it was chosen as a victim.
+    bool urgent = false;      ///< Counted as urgent by its queue.
+    bool first_seen = false;  ///< First token of this run came.
     unsigned preemptions = 0;
-    unsigned passed_over = 0;   ///< Times another one fitted a cache better.
-    std::uint64_t tokens = 0;   ///< Generated so far.
-    double charged = 0;         ///< Tokens charged so far.
-    lane_index replaced_by = 0; ///< Lane that the victim makes room for.
-    std::size_t running_at = 0; ///< Place in the group's running requests.
-    time_point latest_start;    ///< To meet its first-token target.
+    unsigned passed_over = 0; ///< Times another one fitted a cache better.
+    std::uint64_t tokens = 0; ///< Generated so far.
+    std::uint64_t tokens_before = 0; ///< Generated before its last dispatch.
+    double charged = 0;              ///< Tokens charged so far.
+    lane_index replaced_by = 0;      ///< Lane that the victim makes room for.
+    std::size_t running_at = 0;      ///< Place in the group's running requests.
+    time_point latest_start;         ///< To meet its first-token target.
     time_point dispatched_at;
     time_point last_token_at;
 };
--- a/src/libscheduling/src/server_group.cpp
+++ b/src/libscheduling/src/server_group.cpp
@@ -15,7 +15,7 @@
 server_group::server_group(scheduler_settings const& settings,
                            organisation_table& organisations)
     : settings_{settings}, organisations_{organisations}, shedding_{settings},
-      preemption_{settings.most_preemptions}, gate_{settings}, queue_{settings}
+      preemption_{settings.least_run_tokens}, gate_{settings}, queue_{settings}
 {}
 
 void server_group::set_policy(unsigned slots,
@@ -75,13 +75,14 @@
     record.entry.tokens = value.expected_output_tokens > 0
                               ? value.expected_output_tokens
                               : gate_.usual_output_tokens();
-    record.entry.position = {value.deadline, value.id, &record};
     record.preferred = find(value.preferred_backend_server);
     assign_lane(record);
     auto const to_start = estimate_.first_token() + settings_.preemption_time;
     record.latest_start = std::min(value.arrived + value.targets.first_token,
                                    value.deadline - settings_.preemption_time) -
                           to_start;
+    record.entry.position = {
+        .due = record.latest_start, .id = value.id, .record = &record};
 }
 
 void server_group::push(request_record& record)
@@ -90,6 +91,8 @@
     auto& entry = record.entry;
     record.state = request_state::queued;
     entry.sheddable = !record.has_run;
+    entry.position.late = false;
+    entry.position.due = record.latest_start;
     tier.set_weight(entry.organisation,
                     organisations_.weight(entry.organisation));
     tier.push(entry);
@@ -117,6 +120,7 @@
     }
     deadlines_.erase({record.value.deadline, record.value.id, &record});
     latest_starts_.erase({record.latest_start, record.value.id, &record});
+    urgent_.erase({record.latest_start, record.value.id, &record});
 }
 
 request_record* server_group::dispatch_one(time_point now, action_list& actions)
@@ -148,7 +152,7 @@
         return nullptr;
     }
     auto const choice = queue_.pick_by_priority(lanes_of(slot, now));
-    if (!choice || choice->tier >= tier) {
+    if (!choice || choice->tier > tier) {
         return nullptr;
     }
     auto* const record = affine(*choice, slot);
@@ -160,6 +164,7 @@
 {
     if (record.state == request_state::preempting) {
         --replacing_[record.replaced_by];
+        long_victims_ -= record.long_victim ? 1 : 0;
     }
     record.server->stop(record, now);
     record.server = nullptr;
@@ -198,19 +203,20 @@
     record.server->observe_first_token(latency, now);
 }
 
-void server_group::observe_tokens(request_record& record, std::uint32_t count,
+bool server_group::observe_tokens(request_record& record, std::uint32_t count,
                                   time_point now)
 {
+    auto const was_long = record.is_long;
+    auto const was_victim = preemption_.displaceable(record);
     record.tokens += count;
     record.usage->served_tokens += count;
     if (double(record.tokens) > record.charged) {
         charge(record, double(record.tokens) - record.charged, now);
     }
     if (record.server == nullptr) {
-        return;
+        return false;
     }
-    if (!record.is_long && !record.value.isolated &&
-        gate_.is_long(record.tokens)) {
+    if (!was_long && !record.value.isolated && gate_.is_long(record.tokens)) {
         record.is_long = true;
         gate_.enter();
     }
@@ -219,6 +225,8 @@
             (now - record.last_token_at) / count, now);
         record.last_token_at = now;
     }
+    return was_long != record.is_long ||
+           (!was_victim && preemption_.displaceable(record));
 }
 
 void server_group::charge(request_record& record, double tokens, time_point now)
@@ -357,9 +365,10 @@
         head->preferred == &server || head->passed_over >= most_passed_over) {
         return head;
     }
+    auto const& first = choice.request;
     auto const* const line =
         queue_.at(choice.tier)
-            .line(choice.request.organisation, choice.request.lane);
+            .line(first.organisation, first.lane, first.position.late);
     unsigned depth = 0;
     for (auto const& position : *line) {
         if (position.record->preferred == &server) {
@@ -409,13 +418,14 @@
                          bool by_floor, time_point now, action_list& actions)
 {
     auto const organisation = record.entry.organisation;
-    queue_.at(record.value.tier).advance(organisation);
+    queue_.at(record.value.tier).advance(record.entry);
     erase(record);
     record.state = request_state::running;
     record.server = &server;
     record.preferred = &server;
     record.by_floor = by_floor;
     record.first_seen = false;
+    record.tokens_before = record.tokens;
     record.dispatched_at = now;
     record.last_token_at = now;
     record.running_at = running_.size();
--- a/src/libscheduling/src/server_group.hpp
+++ b/src/libscheduling/src/server_group.hpp
@@ -76,13 +76,13 @@
     /// \return the request, or null if nothing can start
     request_record* dispatch_one(time_point now, action_list& actions);
 
-    /// Gives the slot of a victim to a request of a more important tier, by
-    /// priority alone.
+    /// Gives the slot of a victim to a request of its tier or a more important
+    /// one, by priority alone.
     /// \param slot backend server that the victim left
     /// \param tier tier of the victim
     /// \param now current time
     /// \param actions receives the dispatch
-    /// \return the request, or null if none is more important
+    /// \return the request, or null if there is none
     request_record* dispatch_instead(backend_server& slot, unsigned tier,
                                      time_point now, action_list& actions);
 
@@ -111,7 +111,8 @@
     /// \param record a running request
     /// \param count tokens
     /// \param now current time
-    void observe_tokens(request_record& record, std::uint32_t count,
+    /// \return true if the request became a victim that urgent ones may need
+    bool observe_tokens(request_record& record, std::uint32_t count,
                         time_point now);
 
     /// Charges tokens to the organisation of a request.
@@ -231,6 +232,7 @@
     void start(request_record& record, backend_server& server, bool by_floor,
                time_point now, action_list& actions);
     void mark_urgent(time_point now);
+    void mark_late(time_point now);
     bool preempt_for(unsigned tier, lane_index lane, time_point now,
                      action_list& actions);
     [[nodiscard]] request_record* victim_for(unsigned tier, lane_index lane,
@@ -253,9 +255,11 @@
         servers_;
     std::vector<std::string> models_; ///< A model has one lane of each kind.
     std::vector<request_record*> running_;
+    unsigned long_victims_ = 0;         ///< Victims under way that are long.
     std::vector<unsigned> replacing_;   ///< Victims under way, by lane.
     std::set<timer> deadlines_;         ///< Of the queued that have not run.
     std::set<timer> latest_starts_;     ///< Of the queued not yet urgent.
+    std::set<timer> urgent_;            ///< Of the urgent not yet late.
     std::vector<lane_index> lanes_;     ///< Scratch of one dispatch.
     std::vector<backend_server*> free_; ///< Scratch of one dispatch.
 };
--- a/src/libscheduling/src/server_group_overload.cpp
+++ b/src/libscheduling/src/server_group_overload.cpp
@@ -15,6 +15,7 @@
 void server_group::preempt_for_urgent(time_point now, action_list& actions)
 {
     mark_urgent(now);
+    mark_late(now);
     for (lane_index lane = 0; lane < replacing_.size(); ++lane) {
         if (lane_kind(lane % kinds) == lane_kind::isolated) {
             continue;
@@ -113,11 +114,27 @@
         auto& record = *latest_starts_.begin()->record;
         latest_starts_.erase(latest_starts_.begin());
         record.urgent = true;
+        urgent_.insert({record.latest_start, record.value.id, &record});
         queue_.at(record.value.tier)
             .count_urgent(record.entry.organisation, record.entry.lane, 1);
     }
 }
 
+void server_group::mark_late(time_point now)
+{
+    while (!urgent_.empty() && urgent_.begin()->at < now) {
+        auto& record = *urgent_.begin()->record;
+        urgent_.erase(urgent_.begin());
+        auto& tier = queue_.at(record.value.tier);
+        tier.count_urgent(record.entry.organisation, record.entry.lane, -1);
+        tier.erase(record.entry);
+        record.entry.position.late = true;
+        record.entry.position.due = record.value.deadline;
+        tier.push(record.entry);
+        tier.count_urgent(record.entry.organisation, record.entry.lane, 1);
+    }
+}
+
 bool server_group::preempt_for(unsigned tier, lane_index lane, time_point now,
                                action_list& actions)
 {
@@ -127,6 +144,8 @@
     }
     victim->state = request_state::preempting;
     victim->replaced_by = lane;
+    victim->long_victim = victim->is_long;
+    long_victims_ += victim->is_long ? 1 : 0;
     ++replacing_[lane];
     actions.emplace_back(
         preempt{.id = victim->value.id,
@@ -139,10 +158,14 @@
 {
     auto const for_long = lane_kind(lane % kinds) == lane_kind::long_running;
     auto const long_only = for_long && tier >= long_below(now);
-    return preemption_.choose(running_, tier, [&](request_record const& one) {
-        return (one.is_long || !long_only) &&
-               serves_lane(*one.server, lane, now);
-    });
+    // Long requests beyond their part rank below the others of their tier.
+    auto const long_too =
+        !for_long && gate_.running() - long_victims_ > gate_.bound(limit(now));
+    return preemption_.choose(running_, tier, long_too,
+                              [&](request_record const& one) {
+                                  return (one.is_long || !long_only) &&
+                                         serves_lane(*one.server, lane, now);
+                              });
 }
 
 duration server_group::expected_wait(unsigned tier, double ahead) const
--- a/src/libscheduling/src/server_group_summary.cpp
+++ b/src/libscheduling/src/server_group_summary.cpp
@@ -21,6 +21,9 @@
         consider(latest_starts_.begin()->at -
                  estimate_.slot_interval(running_.size()));
     }
+    if (!urgent_.empty()) {
+        consider(urgent_.begin()->at + duration{1});
+    }
     if (queue_.size() == 0) {
         return next;
     }
--- a/tests/libscheduling/checked_owner.hpp
+++ b/tests/libscheduling/checked_owner.hpp
@@ -29,6 +29,7 @@
     item_state state = item_state::queued;
     std::string server;
     std::uint64_t tokens = 0;
+    std::uint64_t tokens_before = 0;
     unsigned preemptions = 0;
     bool has_run = false;
     bool had_run = false;
--- a/tests/libscheduling/owner_scheduler_test.cpp
+++ b/tests/libscheduling/owner_scheduler_test.cpp
@@ -141,6 +141,43 @@
     BOOST_TEST(test.dispatched() == ids{2}, boost::test_tools::per_element());
 }
 
+BOOST_AUTO_TEST_CASE(long_requests_beyond_their_part_yield_to_short_ones)
+{
+    scheduler_fixture test{2};
+    for (request_id id = 1; id <= 2; ++id) {
+        test.enqueue(test.make(id, 1));
+        test.scheduler.tokens(id, 2000, test.now, test.actions);
+    }
+    test.enqueue(test.make(3, 1));
+    test.enqueue(test.make(4, 1));
+    test.advance(seconds{2});
+    // The part of two slots is one, which the other long request keeps.
+    auto const victims = test.take<preempt>();
+    BOOST_REQUIRE(victims.size() == 1);
+    test.dispatched();
+    test.scheduler.preempted(victims[0].id, test.now, test.actions);
+    BOOST_TEST(test.dispatched() == ids{3}, boost::test_tools::per_element());
+    BOOST_TEST(test.take<preempt>().empty());
+}
+
+BOOST_AUTO_TEST_CASE(victim_makes_progress_before_it_is_preempted_again)
+{
+    scheduler_fixture test{1};
+    test.enqueue(test.make(1, 2));
+    for (request_id id = 2; id <= 3; ++id) {
+        test.enqueue(test.make(id, 0));
+        test.advance(seconds{2});
+        BOOST_REQUIRE(test.take<preempt>().size() == 1);
+        test.scheduler.preempted(1, test.now, test.actions);
+        test.scheduler.finished(id, test.now, test.actions);
+        test.enqueue(test.make(10 + id, 0));
+        test.advance(seconds{2});
+        BOOST_TEST(test.take<preempt>().empty());
+        test.scheduler.cancelled(10 + id, test.now, test.actions);
+        test.scheduler.tokens(1, 64, test.now, test.actions);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(flood_leaves_a_small_organisation_its_share)
 {
     scheduler_fixture test{1};
