--- /dev/null
+++ b/src/libdaemon/src/daemon.cpp
@@ -0,0 +1,23 @@
+#include <medlarstall/daemon/daemon.hpp>
+
+#include "daemon_implementation.hpp"
+
+namespace medlarstall::daemon {
+
+daemon::daemon(asio::io_context& io, daemon_settings settings)
+    : implementation_{std::make_shared<implementation>(io, std::move(settings))}
+{}
+
+daemon::~daemon() = default;
+
+result<daemon_endpoints> daemon::start()
+{
+    return implementation_->start();
+}
+
+void daemon::drain(std::function<void(bool)> on_drained)
+{
+    implementation_->drain(std::move(on_drained));
+}
+
+} // namespace medlarstall::daemon
