--- a/src/libscheduling/src/owner_scheduler_state.cpp
+++ b/src/libscheduling/src/owner_scheduler_state.cpp
@@ -325,8 +325,8 @@
     if (!group) {
         group = std::make_unique<server_group>(settings_, organisations_);
         group->set_policy(slots_of(name), floors_);
-        for (organisation_index each = 0; each < blocked_.size(); ++each) {
-            group->set_blocked(each, blocked_[each]);
+        for (organisation_index each = 0; each < gate_.size(); ++each) {
+            group->set_blocked(each, gate_.blocked(each));
         }
     }
     return *group;
@@ -398,7 +398,7 @@
     while (auto const id = group.expired(before)) {
         auto& record = records_.at(*id);
         auto const limited =
-            blocked_[record.entry.organisation] ||
+            gate_.blocked(record.entry.organisation) ||
             organisations_.at_limit(record.entry.organisation, now);
         refuse_record(record,
                       limited ? refusal::organisation_limit : refusal::deadline,
@@ -447,20 +447,10 @@
 bool owner_scheduler::state::refresh_limits(organisation_index organisation,
                                             time_point now)
 {
-    if (organisation >= blocked_.size()) {
-        blocked_.resize(organisation + 1);
-        limit_timers_.resize(organisation + 1);
-    }
-    auto const blocked = organisations_.at_limit(organisation, now);
-    auto const changed = blocked != blocked_[organisation];
-    if (!blocked && !changed) {
-        return false;
-    }
-    set_limit_timer(organisation, now);
-    if (!changed) {
+    if (!gate_.refresh(organisation, now)) {
         return false;
     }
-    blocked_[organisation] = blocked;
+    auto const blocked = gate_.blocked(organisation);
     for (auto const& [name, group] : groups_) {
         group->set_blocked(organisation, blocked);
     }
@@ -468,45 +458,17 @@
     return true;
 }
 
-void owner_scheduler::state::set_limit_timer(organisation_index organisation,
-                                             time_point now)
-{
-    auto& timer = limit_timers_[organisation];
-    auto const next = organisations_.next_start(organisation, now);
-    if (next <= now) {
-        if (timer) {
-            limited_until_.erase({*timer, organisation});
-        }
-        timer.reset();
-        return;
-    }
-    if (!timer) {
-        limited_until_.insert({next, organisation});
-    } else if (*timer != next) {
-        auto node = limited_until_.extract({*timer, organisation});
-        node.value() = {next, organisation};
-        limited_until_.insert(std::move(node));
-    }
-    timer = next;
-}
-
 void owner_scheduler::state::release_limited(time_point now)
 {
-    while (!limited_until_.empty() && limited_until_.begin()->first <= now) {
-        auto const organisation = limited_until_.begin()->second;
-        limited_until_.erase(limited_until_.begin());
-        limit_timers_[organisation].reset();
-        refresh_limits(organisation, now);
+    while (auto const organisation = gate_.take_due(now)) {
+        refresh_limits(*organisation, now);
     }
 }
 
 void owner_scheduler::state::ask_for_wake_up(time_point now,
                                              action_list& actions)
 {
-    std::optional<time_point> next;
-    if (!limited_until_.empty()) {
-        next = limited_until_.begin()->first;
-    }
+    auto next = gate_.next();
     for (auto const& [name, group] : groups_) {
         if (auto const at = group->next_event(now)) {
             next = next ? std::min(*next, *at) : *at;
--- a/src/libscheduling/src/owner_scheduler_state.hpp
+++ b/src/libscheduling/src/owner_scheduler_state.hpp
@@ -1,6 +1,7 @@
 #ifndef MEDLARSTALL_SCHEDULING_OWNER_SCHEDULER_STATE_HPP
 #define MEDLARSTALL_SCHEDULING_OWNER_SCHEDULER_STATE_HPP
 
+#include "organisation_gate.hpp"
 #include "organisation_table.hpp"
 #include "request_record.hpp"
 #include "server_group.hpp"
@@ -11,7 +12,6 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <unordered_map>
 #include <utility>
@@ -75,20 +75,17 @@
     void settle_group(server_group& group, time_point now,
                       action_list& actions);
     bool refresh_limits(organisation_index organisation, time_point now);
-    void set_limit_timer(organisation_index organisation, time_point now);
     void release_limited(time_point now);
     void ask_for_wake_up(time_point now, action_list& actions);
 
     scheduler_settings settings_;
     organisation_table organisations_;
+    organisation_gate gate_{organisations_};
     std::map<std::string, unsigned, std::less<>> slots_; ///< By group.
     std::map<std::string, unsigned, std::less<>> tiers_; ///< By class.
     std::array<double, max_tiers> floors_{};
     std::map<std::string, std::unique_ptr<server_group>, std::less<>> groups_;
     std::unordered_map<request_id, request_record> records_;
-    std::vector<bool> blocked_; ///< By organisation.
-    std::set<std::pair<time_point, organisation_index>> limited_until_;
-    std::vector<std::optional<time_point>> limit_timers_; ///< By organisation.
     bool others_changed_ = false; ///< A limit changed what groups may start.
     bool draining_ = false;
     std::optional<time_point> announced_;
