Add the command line for operators, members and load

Cause: operators drive the system by catalogue changes alone, and members must be able to check it; load had to be driven from outside the daemon. Change: libcli and the program medlarstall: catalogue check, show, diff, publish (resent under its change id, waits until in force, names the daemon that is not) and verify (recomputes the digest from the log), entries, shares, status, drain, and load (open loop, mix, swings, stragglers, attainment).

--- /dev/null
+++ b/src/libcli/src/command_line.cpp
@@ -0,0 +1,159 @@
+#include <medlarstall/cli/command_line.hpp>
+
+#include "command.hpp"
+
+#include <array>
+
+namespace medlarstall::cli {
+
+namespace {
+
+constexpr std::array commands{
+    command{"catalogue check", "Check a catalogue file", run_catalogue_check},
+    command{"catalogue show", "Print the catalogue in force",
+            run_catalogue_show},
+    command{"catalogue diff", "Compare a file with the catalogue in force",
+            run_catalogue_diff},
+    command{"catalogue publish", "Change the catalogue to what a file says",
+            run_catalogue_publish},
+    command{"catalogue verify",
+            "Recompute the digest from the log and compare every daemon's",
+            run_catalogue_verify},
+    command{"entries", "List the addresses that callers should use",
+            run_entries},
+    command{"shares", "Show what each organisation was served", run_shares},
+    command{"status", "Show daemons and backend servers", run_status},
+    command{"drain", "Stop a daemon without cutting off a request", run_drain},
+    command{"load", "Drive load and report the latencies by class", run_load}};
+
+void print_help(std::ostream& out)
+{
+    out << "medlarstall " MEDLARSTALL_VERSION
+           ": publishes and checks the catalogue, shows shares and state, "
+           "drains daemons\nand drives load.\n\n"
+           "Usage: medlarstall COMMAND [FLAG...]\n"
+           "       medlarstall COMMAND --help\n\nCommands:\n";
+    for (auto const& one : commands) {
+        std::string name{one.name};
+        constexpr std::size_t column = 20;
+        name.resize(std::max(name.size(), column), ' ');
+        out << "  " << name << one.help << '\n';
+    }
+    out << "\nEach flag has an environment variable, which --help of the "
+           "command names.\n\nExit codes: 0 success; 1 the answer is no "
+           "(differences, a failed check); 2 wrong\nusage or input; 3 no "
+           "daemon answered; 4 a daemon refused the call; 5 another\nchange "
+           "came first; 6 accepted, but not in force everywhere in time.\n";
+}
+
+std::vector<std::string> words_of(std::string const& name)
+{
+    auto const space = name.find(' ');
+    if (space == std::string::npos) {
+        return {name};
+    }
+    return {name.substr(0, space), name.substr(space + 1)};
+}
+
+bool matches(command const& one, std::vector<std::string> const& arguments)
+{
+    auto const words = words_of(one.name);
+    return arguments.size() > words.size() &&
+           std::equal(words.begin(), words.end(), arguments.begin() + 1);
+}
+
+} // namespace
+
+exit_code run_command_line(std::vector<std::string> const& arguments,
+                           settings::environment const& variables,
+                           std::ostream& out, std::ostream& log)
+{
+    if (arguments.size() > 1 && arguments[1] == "--version") {
+        out << "medlarstall " MEDLARSTALL_VERSION "\n";
+        return exit_code::success;
+    }
+    if (arguments.size() > 1 &&
+        (arguments[1] == "--help" || arguments[1] == "help")) {
+        print_help(out);
+        return exit_code::success;
+    }
+    for (auto const& one : commands) {
+        if (!matches(one, arguments)) {
+            continue;
+        }
+        auto const skipped =
+            static_cast<std::ptrdiff_t>(words_of(one.name).size() + 1);
+        std::vector<std::string> rest{std::string{"medlarstall "} + one.name};
+        rest.insert(rest.end(), arguments.begin() + skipped, arguments.end());
+        command_context context{std::move(rest), variables, out, log};
+        return one.run(context);
+    }
+    if (arguments.size() > 1) {
+        log << "medlarstall: unknown command \"" << arguments[1];
+        log << (arguments.size() > 2 ? " " + arguments[2] : "") << "\"\n";
+    }
+    print_help(log);
+    return exit_code::usage;
+}
+
+void add_session_settings(settings::setting_set& set, session_settings& target)
+{
+    constexpr std::chrono::milliseconds shortest{10};
+    constexpr std::chrono::milliseconds longest{600'000};
+    set.add_list("server",
+                 "IP:PORT of a daemon; may be repeated, tried in turn",
+                 target.servers);
+    set.add("key", "Key of an organisation, for what members may see",
+            target.key);
+    set.add("operator-key", "Key of an operator, for administration",
+            target.operator_key);
+    set.add_span("timeout-ms", "Longest wait for an answer", shortest, longest,
+                 target.timeout);
+}
+
+std::optional<exit_code> read_settings(command_context& context,
+                                       settings::setting_set& set)
+{
+    auto const outcome = set.read(context.arguments, context.variables);
+    if (failed(outcome)) {
+        auto const& failure = error_of(outcome);
+        context.log << "medlarstall: " << failure.field << ": "
+                    << failure.message << '\n';
+        return exit_code::usage;
+    }
+    if (value_of(outcome) == settings::next::stop) {
+        return exit_code::success;
+    }
+    return std::nullopt;
+}
+
+exit_code report_unreachable(command_context& context, error const& failure)
+{
+    context.log << "medlarstall: no daemon answered (" << failure.message
+                << "). Check --server.\n";
+    return exit_code::unreachable;
+}
+
+exit_code report_refusal(command_context& context, daemon_reply const& reply)
+{
+    context.log << "medlarstall: the daemon refused: " << reply.problem()
+                << '\n';
+    return exit_code::refused;
+}
+
+std::optional<exit_code> get(command_context& context, daemon_session& session,
+                             std::string const& path, authority who,
+                             nlohmann::json& body)
+{
+    auto reply = session.call("GET", path, who);
+    if (failed(reply)) {
+        return report_unreachable(context, error_of(reply));
+    }
+    if (!value_of(reply).succeeded()) {
+        return report_refusal(context, value_of(reply));
+    }
+    body = std::move(value_of(reply).body);
+    return std::nullopt;
+}
+
+} // namespace medlarstall::cli
--- /dev/null
+++ b/tests/libcli/load_test.cpp
@@ -0,0 +1,182 @@
+#include <medlarstall/cli/load_plan.hpp>
+#include <medlarstall/cli/load_statistics.hpp>
+#include <medlarstall/cli/text_table.hpp>
+
+#include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
+#include <rapidcheck/boost_test.h>
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+
+using namespace medlarstall;
+using namespace medlarstall::cli;
+using namespace std::chrono_literals;
+
+namespace {
+
+std::vector<planned_request> plan_all(load_shape shape,
+                                      std::vector<load_stream> streams = {{}})
+{
+    load_plan plan{shape, std::move(streams)};
+    std::vector<planned_request> requests;
+    for (planned_request request; plan.next(request);) {
+        requests.push_back(request);
+    }
+    return requests;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(load_suite)
+
+BOOST_AUTO_TEST_CASE(spreads_even_arrivals)
+{
+    auto const requests = plan_all({.requests_per_second = 50,
+                                    .span = 1s,
+                                    .pattern = arrival_pattern::even});
+    BOOST_REQUIRE(requests.size() == 49U);
+    for (std::size_t index = 0; index < requests.size(); ++index) {
+        auto const wanted = 20ms * static_cast<int>(index + 1);
+        BOOST_TEST(std::abs((requests[index].at - wanted).count()) < 1'000);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(swings_between_two_rates)
+{
+    auto const requests = plan_all({.requests_per_second = 1'000,
+                                    .span = 8s,
+                                    .swing_low = 0.5,
+                                    .swing_high = 2.0,
+                                    .swing_period = 4s});
+    std::array<int, 4> halves{};
+    for (auto const& request : requests) {
+        ++halves.at(static_cast<std::size_t>(request.at / 2s));
+    }
+    // Six standard deviations of a Poisson count around its mean.
+    for (std::size_t half = 0; half < halves.size(); ++half) {
+        double const mean = half % 2 == 0 ? 1'000 : 4'000;
+        BOOST_TEST(std::abs(halves.at(half) - mean) < 6 * std::sqrt(mean));
+    }
+}
+
+RC_BOOST_PROP(repeats_and_keeps_order, ())
+{
+    load_shape const shape{
+        .requests_per_second = 1.0 * *rc::gen::inRange(1, 500),
+        .span = 2s,
+        .swing_low = *rc::gen::inRange(0, 3) / 2.0,
+        .swing_period = std::chrono::milliseconds{*rc::gen::inRange(2, 3'000)},
+        .stragglers = 0.25,
+        .seed = *rc::gen::arbitrary<std::uint64_t>()};
+    std::vector<load_stream> const streams{{.tokens = 10}, {.tokens = 7}};
+    auto const first = plan_all(shape, streams);
+    auto const second = plan_all(shape, streams);
+    RC_ASSERT(first.size() == second.size());
+    std::chrono::nanoseconds previous{0};
+    for (std::size_t index = 0; index < first.size(); ++index) {
+        RC_ASSERT(first[index].at == second[index].at);
+        RC_ASSERT(first[index].at >= previous);
+        RC_ASSERT(first[index].at < shape.span);
+        RC_ASSERT(first[index].number == index);
+        auto const base = streams[first[index].stream].tokens;
+        auto const factor = first[index].straggler ? 20U : 1U;
+        RC_ASSERT(first[index].tokens == base * factor);
+        previous = first[index].at;
+    }
+}
+
+BOOST_AUTO_TEST_CASE(parses_a_mix)
+{
+    auto const parsed = parse_load_stream(
+        "class=urgent;key=k;weight=2.5;tokens=9;first_token_ms=100", {});
+    BOOST_REQUIRE(!failed(parsed));
+    auto const& stream = value_of(parsed);
+    BOOST_TEST(stream.service_class == "urgent");
+    BOOST_TEST(stream.weight == 2.5);
+    BOOST_TEST(stream.tokens == 9U);
+    BOOST_TEST((stream.first_token == 100ms));
+    for (auto const* wrong : {"weight=0", "tokens=0", "tokens=1x", "colour=red",
+                              "class", "between_tokens_ms=-1"}) {
+        auto const refused = parse_load_stream(wrong, {});
+        BOOST_REQUIRE(failed(refused));
+        BOOST_TEST(error_of(refused).message.find(wrong) != std::string::npos);
+    }
+}
+
+RC_BOOST_PROP(percentile_splits_the_values,
+              (std::vector<unsigned> const& numbers))
+{
+    std::vector<std::chrono::nanoseconds> values;
+    values.reserve(numbers.size());
+    for (auto const number : numbers) {
+        values.emplace_back(number);
+    }
+    percentiles const sorted{values};
+    for (double const rank : {0.0, 0.5, 0.95, 0.99, 1.0}) {
+        auto const at = sorted.at(rank);
+        auto const below = std::ranges::count_if(
+            values, [&](auto value) { return value <= at; });
+        auto const size = static_cast<double>(values.size());
+        RC_ASSERT(static_cast<double>(below) >= rank * size);
+        if (!values.empty()) {
+            auto const under = std::ranges::count_if(
+                values, [&](auto value) { return value < at; });
+            RC_ASSERT(static_cast<double>(under) <
+                      std::max(1.0, std::ceil(rank * size)));
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(sums_up_by_class)
+{
+    load_statistics statistics{{{.service_class = "urgent",
+                                 .first_token = 100ms,
+                                 .between_tokens = 10ms},
+                                {.service_class = "later"}}};
+    auto const answered = [](std::uint64_t number, auto first, auto total) {
+        return load_record{.number = number,
+                           .outcome = load_outcome::answered,
+                           .first_token = first,
+                           .total = total,
+                           .tokens = 11};
+    };
+    statistics.add(answered(0, 100ms, 200ms)); // Exactly on target.
+    statistics.add(answered(1, 101ms, 200ms)); // First token late.
+    statistics.add(answered(2, 50ms, 151ms));  // 10.1 ms between tokens.
+    statistics.add({.outcome = load_outcome::not_run});
+    statistics.add({.outcome = load_outcome::cut, .tokens = 3});
+    statistics.add({.stream = 1, .message = "gone"});
+    auto const figures = statistics.figures();
+    BOOST_REQUIRE(figures.size() == 3U);
+    BOOST_TEST(figures[0].sent == 5U);
+    BOOST_TEST(figures[0].attained == 1U);
+    BOOST_TEST(figures[0].attainment() == 0.2);
+    BOOST_TEST(figures[0].not_run == 1U);
+    BOOST_TEST(figures[0].cut == 1U);
+    BOOST_TEST(figures[0].tokens == 36U);
+    BOOST_TEST(figures[0].useful_tokens == 11U);
+    BOOST_TEST(figures[1].failed == 1U);
+    BOOST_TEST(figures[2].sent == 6U);
+    auto const slowest = statistics.slowest(2);
+    BOOST_REQUIRE(slowest.size() == 2U);
+    BOOST_TEST(slowest[0].number == 0U);
+    BOOST_TEST(slowest[1].number == 1U);
+    auto const text = statistics.render(1s, 1);
+    BOOST_TEST(text.find("20.0%") != std::string::npos);
+    BOOST_TEST(text.find("1 x gone") != std::string::npos);
+    auto const json = statistics.to_json(1s, 1);
+    BOOST_TEST(json["streams"][0]["first_token_ms"]["max"] == 101.0);
+    BOOST_TEST(json["slowest"].size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(aligns_columns)
+{
+    text_table table{{"name", "n"}};
+    table.add({"a", "10"});
+    table.add({"long name", "1"});
+    BOOST_TEST(table.text() == "name        n\na          10\nlong name   1\n");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
