--- a/src/libclaim/src/record.cpp
+++ b/src/libclaim/src/record.cpp
@@ -1,5 +1,9 @@
 #include <medlarstall/claim/record.hpp>
+
 #include <medlarstall/support/digest.hpp>
+#include <medlarstall/support/hex.hpp>
+
+#include <algorithm>
 
 namespace medlarstall::claim {
 
@@ -10,12 +14,6 @@
 constexpr std::size_t outcome_bytes = 200;
 constexpr std::size_t mark_bytes = 16;
 
-std::uint8_t hex_value(char digit)
-{
-    return static_cast<std::uint8_t>(digit <= '9' ? digit - '0'
-                                                  : digit - 'a' + 10);
-}
-
 /// Appends a text with its length, so that no two lists of texts are alike.
 void append_field(std::string& to, std::string_view field)
 {
@@ -34,12 +32,9 @@
     append_field(text, organisation);
     append_field(text, operation);
     append_field(text, body);
-    auto const hex = sha256_hex(text);
+    auto const bytes = from_hex(sha256_hex(text)).value();
     body_digest digest;
-    for (std::size_t i = 0; i < digest.bytes.size(); ++i) {
-        digest.bytes[i] = static_cast<std::uint8_t>(
-            hex_value(hex[2 * i]) << 4U | hex_value(hex[2 * i + 1]));
-    }
+    std::copy_n(bytes.begin(), digest.bytes.size(), digest.bytes.begin());
     return digest;
 }
 
--- a/src/libclaim/src/record_codec.cpp
+++ b/src/libclaim/src/record_codec.cpp
@@ -1,8 +1,11 @@
 #include <medlarstall/claim/record_codec.hpp>
 
+#include <medlarstall/support/hex.hpp>
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <optional>
 
 namespace medlarstall::claim {
 
@@ -10,46 +13,15 @@
 
 using nlohmann::json;
 
-template<class Bytes>
-std::string to_hex(Bytes const& bytes)
+std::string to_text(body_digest const& digest)
 {
-    static constexpr char digits[] = "0123456789abcdef";
     std::string text;
-    text.reserve(bytes.size() * 2);
-    for (auto const value : bytes) {
-        auto const byte = static_cast<std::uint8_t>(value);
-        text += digits[byte >> 4U];
-        text += digits[byte & 0xFU];
+    for (auto const byte : digest.bytes) {
+        append_hex(text, byte);
     }
     return text;
 }
 
-int digit_value(char digit)
-{
-    if (digit >= '0' && digit <= '9') {
-        return digit - '0';
-    }
-    return digit >= 'a' && digit <= 'f' ? digit - 'a' + 10 : -1;
-}
-
-/// \return false if \p text is not pairs of lower-case hexadecimal digits
-template<class Put>
-bool from_hex(std::string_view text, Put put)
-{
-    if (text.size() % 2 != 0) {
-        return false;
-    }
-    for (std::size_t i = 0; i < text.size(); i += 2) {
-        int const high = digit_value(text[i]);
-        int const low = digit_value(text[i + 1]);
-        if (high < 0 || low < 0) {
-            return false;
-        }
-        put(static_cast<std::uint8_t>(high << 4 | low));
-    }
-    return true;
-}
-
 bool is_utf8(std::string const& text)
 {
     try {
@@ -94,28 +66,22 @@
     body_digest digest(char const* name)
     {
         body_digest value;
-        std::size_t used = 0;
-        bool const valid = from_hex(text(name), [&](std::uint8_t byte) {
-            if (used < value.bytes.size()) {
-                value.bytes[used] = byte;
-            }
-            ++used;
-        });
-        if (!valid || used != value.bytes.size()) {
+        auto const bytes = from_hex(text(name));
+        if (!bytes.has_value() || bytes->size() != value.bytes.size()) {
             fail(name, "must be 32 hexadecimal digits");
+            return value;
         }
+        std::ranges::copy(*bytes, value.bytes.begin());
         return value;
     }
 
     std::string hex(char const* name)
     {
-        std::string value;
-        if (!from_hex(text(name), [&](std::uint8_t byte) {
-                value += static_cast<char>(byte);
-            })) {
-            fail(name, "must be hexadecimal digits");
+        auto bytes = from_hex(text(name));
+        if (!bytes.has_value()) {
+            fail(name, "must be pairs of hexadecimal digits");
         }
-        return value;
+        return std::move(bytes).value_or(std::string{});
     }
 
     int number_or_zero(char const* name)
@@ -194,7 +160,7 @@
 {
     return {{"kind", "claim"},
             {"key", to_string(value.key)},
-            {"digest", to_hex(value.digest.bytes)},
+            {"digest", to_text(value.digest)},
             {"attempt", to_string(value.attempt)},
             {"writer", value.writer}};
 }
--- a/src/libsupport/src/digest.cpp
+++ b/src/libsupport/src/digest.cpp
@@ -1,5 +1,7 @@
 #include <medlarstall/support/digest.hpp>
 
+#include <medlarstall/support/hex.hpp>
+
 #include <openssl/crypto.h>
 #include <openssl/evp.h>
 #include <xxhash.h>
@@ -14,14 +16,9 @@
     unsigned int size = 0;
     EVP_Digest(data.data(), data.size(), digest.data(), &size, EVP_sha256(),
                nullptr);
-    static constexpr char digits[] = "0123456789abcdef";
-    std::string text;
-    text.reserve(std::size_t{size} * 2);
-    for (unsigned int i = 0; i < size; ++i) {
-        text += digits[digest[i] >> 4U];
-        text += digits[digest[i] & 0xFU];
-    }
-    return text;
+    std::string_view const bytes{reinterpret_cast<char const*>(digest.data()),
+                                 size};
+    return to_hex(bytes);
 }
 
 std::uint64_t hash64(std::string_view data, std::uint64_t seed)
--- a/src/libsupport/src/uuid.cpp
+++ b/src/libsupport/src/uuid.cpp
@@ -1,5 +1,7 @@
 #include <medlarstall/support/uuid.hpp>
 
+#include <medlarstall/support/hex.hpp>
+
 namespace medlarstall {
 
 namespace {
@@ -11,20 +13,6 @@
     return position == 8 || position == 13 || position == 18 || position == 23;
 }
 
-int digit_value(char digit)
-{
-    if (digit >= '0' && digit <= '9') {
-        return digit - '0';
-    }
-    if (digit >= 'a' && digit <= 'f') {
-        return digit - 'a' + 10;
-    }
-    if (digit >= 'A' && digit <= 'F') {
-        return digit - 'A' + 10;
-    }
-    return -1;
-}
-
 } // namespace
 
 result<uuid> parse_uuid(std::string_view text)
@@ -43,7 +31,7 @@
             }
             continue;
         }
-        int const value = digit_value(text[i]);
+        int const value = hex_digit_value(text[i]);
         if (value < 0) {
             return error{"uuid", "must have a hexadecimal digit at position " +
                                      std::to_string(i)};
@@ -57,15 +45,13 @@
 
 std::string to_string(uuid const& id)
 {
-    static constexpr char digits[] = "0123456789abcdef";
     std::string text;
     text.reserve(text_length);
     for (auto const byte : id.bytes) {
         if (dash_at(text.size())) {
             text += '-';
         }
-        text += digits[byte >> 4U];
-        text += digits[byte & 0xFU];
+        append_hex(text, byte);
     }
     return text;
 }
