Find an organisation by hash, and give a waiting tier a slot sooner

Change: an unordered map for the names (the counters are sorted when they are asked for); longest_gap is 3.5 s.

--- a/src/libscheduling/include/medlarstall/scheduling/scheduler_settings.hpp
+++ b/src/libscheduling/include/medlarstall/scheduling/scheduler_settings.hpp
@@ -41,7 +41,7 @@
     /// Output tokens of a request before any has finished.
     std::uint32_t usual_output_tokens = 128;
     /// A tier that waits this long without service gets the next freed slot.
-    std::chrono::milliseconds longest_gap{4000};
+    std::chrono::milliseconds longest_gap{3500};
     /// Tokens that a request makes between two preemptions of it.
     std::uint32_t least_run_tokens = 64;
     /// Time that cancelling a victim and starting in its place may take.
--- a/src/libscheduling/src/organisation_table.cpp
+++ b/src/libscheduling/src/organisation_table.cpp
@@ -3,7 +3,7 @@
 #include <medlarstall/catalogue/catalogue.hpp>
 
 #include <algorithm>
-#include <limits>
+#include <tuple>
 
 namespace medlarstall::scheduling {
 
@@ -95,11 +95,14 @@
 std::vector<organisation_usage> organisation_table::usage() const
 {
     std::vector<organisation_usage> all;
-    for (auto const& [name, index] : indices_) {
-        for (auto const& [service_class, counters] : members_[index].usage) {
+    for (auto const& each : members_) {
+        for (auto const& [service_class, counters] : each.usage) {
             all.push_back(counters);
         }
     }
+    std::ranges::sort(all, {}, [](organisation_usage const& one) {
+        return std::tie(one.organisation, one.service_class);
+    });
     return all;
 }
 
--- a/src/libscheduling/src/organisation_table.hpp
+++ b/src/libscheduling/src/organisation_table.hpp
@@ -12,6 +12,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 namespace medlarstall::catalogue {
@@ -116,7 +117,20 @@
     static void adapt_rates(member& of, time_point now);
     [[nodiscard]] static unsigned allowance(member const& of);
 
-    std::map<std::string, organisation_index, std::less<>> indices_;
+    /// Hashes names without copying them.
+    struct name_hash
+    {
+        using is_transparent = void;
+
+        std::size_t operator()(std::string_view name) const
+        {
+            return std::hash<std::string_view>{}(name);
+        }
+    };
+
+    std::unordered_map<std::string, organisation_index, name_hash,
+                       std::equal_to<>>
+        indices_;
     std::vector<member> members_;
 };
 
