Do not let a modest organisation wait for being late

Cause: late requests came after those in time even where their organisation asked for far less than the one that was served. Change: an organisation with under a fifth of the other's backlog for its weight keeps its place although its requests are late; the overload bench prints how many requests of the small organisations are refused.

--- a/bench/scheduling_overload/fake_owner.cpp
+++ b/bench/scheduling_overload/fake_owner.cpp
@@ -109,7 +109,9 @@
     if (part(random_) < what_.long_part) {
         fresh.length = std::uint64_t(long_factor * mean_length);
     }
-    ++outcome_.tiers[demand.tier].sent;
+    auto& tier = outcome_.tiers[demand.tier];
+    ++tier.sent;
+    tier.small_sent += value.organisation == "flood" ? 0 : 1;
     jobs_[value.id] = fresh;
     (void)scheduler_.enqueue(value, now_, actions_);
 }
@@ -151,7 +153,10 @@
             if (auto const* started = std::get_if<dispatch>(&each)) {
                 start(*started);
             } else if (auto const* refused = std::get_if<refuse>(&each)) {
-                ++outcome_.tiers[jobs_[refused->id].value.tier].refused;
+                auto const& value = jobs_[refused->id].value;
+                auto& tier = outcome_.tiers[value.tier];
+                ++tier.refused;
+                tier.small_refused += value.organisation == "flood" ? 0 : 1;
                 jobs_.erase(refused->id);
             } else if (auto const* victim = std::get_if<preempt>(&each)) {
                 auto& job = jobs_[victim->id];
--- a/bench/scheduling_overload/fake_owner.hpp
+++ b/bench/scheduling_overload/fake_owner.hpp
@@ -41,6 +41,8 @@
     unsigned sent = 0;
     unsigned met = 0; ///< First token and mean between tokens in time.
     unsigned refused = 0;
+    unsigned small_sent = 0; ///< By organisations other than the flood's.
+    unsigned small_refused = 0;
     std::vector<double> first_tokens; ///< Seconds, of those that began.
     double longest_gap = 0;           ///< Seconds without a dispatch.
 };
--- a/bench/scheduling_overload/main.cpp
+++ b/bench/scheduling_overload/main.cpp
@@ -91,6 +91,8 @@
         auto const name = "tier" + std::to_string(tier) + "_";
         line(name + "attainment", 100.0 * got.met / got.sent, "%");
         line(name + "refused", 100.0 * got.refused / got.sent, "%");
+        line(name + "small_refused", 100.0 * got.small_refused / got.small_sent,
+             "%");
         line(name + "first_token_p99", percentile(got.first_tokens, 0.99), "s");
         line(name + "longest_gap", got.longest_gap, "s");
     }
--- a/src/libscheduling/src/fair_queue.cpp
+++ b/src/libscheduling/src/fair_queue.cpp
@@ -13,6 +13,8 @@
 /// An organisation with a weight of 1 that is this many tokens behind is
 /// served although its requests are late.
 constexpr double most_behind_tokens = 1000;
+/// An organisation asks for much less below this part of another's backlog.
+constexpr double modest_part = 0.2;
 
 /// Moves a key within a set without allocating.
 template<class Key>
@@ -142,10 +144,15 @@
     if (!in_time || !late) {
         return in_time ? in_time : late;
     }
-    auto const behind =
-        most_behind_tokens / accounts_[late->organisation].weight;
+    // An organisation that asks for much less than the other one does not
+    // wait longer for being late.
+    auto const& behind = accounts_[late->organisation];
+    auto const& ahead = accounts_[in_time->organisation];
+    auto const modest = behind.backlog / behind.weight <
+                        modest_part * ahead.backlog / ahead.weight;
+    auto const slack = modest ? 0.0 : most_behind_tokens / behind.weight;
     bool const late_first =
-        turns_ + 1 >= late_turn || late->served + behind < in_time->served;
+        turns_ + 1 >= late_turn || late->served + slack <= in_time->served;
     return late_first ? late : in_time;
 }
 
--- a/tests/libscheduling/fair_queue_test.cpp
+++ b/tests/libscheduling/fair_queue_test.cpp
@@ -95,6 +95,23 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(late_requests_of_a_modest_organisation_do_not_wait)
+{
+    for (int each = 0; each < 10; ++each) {
+        push(0);
+    }
+    queue.charge(0, 10);
+    push(1, 0, true);
+    BOOST_TEST(queue.front(only_lane)->organisation == 1);
+    // One that asks for as much serves what can still meet its target.
+    for (int each = 0; each < 9; ++each) {
+        push(1, 0, true);
+    }
+    BOOST_TEST(queue.front(only_lane)->organisation == 0);
+    queue.charge(0, 1000);
+    BOOST_TEST(queue.front(only_lane)->organisation == 1);
+}
+
 BOOST_AUTO_TEST_CASE(least_time_left_first_within_an_organisation)
 {
     push(0, 30);
