--- a/src/libcli/src/load_command.cpp
+++ b/src/libcli/src/load_command.cpp
@@ -1,5 +1,6 @@
 #include "command.hpp"
-#include "load_run.hpp"
+
+#include <medlarstall/cli/load_run.hpp>
 
 #include <nlohmann/json.hpp>
 
--- a/src/libcli/src/load_run.cpp
+++ b/src/libcli/src/load_run.cpp
@@ -1,4 +1,4 @@
-#include "load_run.hpp"
+#include <medlarstall/cli/load_run.hpp>
 
 #include <medlarstall/backend/event_stream.hpp>
 #include <medlarstall/backend/http_client.hpp>
--- a/tests/standins/src/main.cpp
+++ b/tests/standins/src/main.cpp
@@ -15,6 +15,8 @@
 
 namespace {
 
+constexpr double hundred = 100.0;
+
 /// Settings of the program.
 struct options
 {
@@ -24,6 +26,8 @@
     std::string name;
     unsigned slots = 0;
     unsigned between_tokens_ms = 0;
+    unsigned prefill_us = 0;
+    unsigned batching_percent = 0;
     bool checks_fencing = true;
     std::vector<std::string> known_models;
     std::vector<std::string> models;
@@ -49,6 +53,15 @@
                                     "N", line};
     TCLAP::ValueArg<unsigned> between{
         "", "between-tokens-ms", "time per token", false, 20, "MS", line};
+    TCLAP::ValueArg<unsigned> prefill{
+        "", "prefill-us", "prefill time per token", false, 200, "US", line};
+    TCLAP::ValueArg<unsigned> batching{"",
+                                       "batching-percent",
+                                       "slower per running stream",
+                                       false,
+                                       2,
+                                       "PERCENT",
+                                       line};
     TCLAP::SwitchArg ignores{"", "ignore-fencing",
                              "takes orders with old fencing numbers", line};
     TCLAP::MultiArg<std::string> known{
@@ -63,6 +76,8 @@
             .name = name.getValue(),
             .slots = slots.getValue(),
             .between_tokens_ms = between.getValue(),
+            .prefill_us = prefill.getValue(),
+            .batching_percent = batching.getValue(),
             .checks_fencing = !ignores.getValue(),
             .known_models = known.getValue(),
             .models = models.getValue()};
@@ -74,6 +89,9 @@
     settings.speed.slots = from.slots;
     settings.speed.between_tokens =
         std::chrono::milliseconds{from.between_tokens_ms};
+    settings.speed.prefill_per_token =
+        std::chrono::microseconds{from.prefill_us};
+    settings.speed.batching_slowdown = from.batching_percent / hundred;
     settings.checks_fencing = from.checks_fencing;
     settings.known_models = from.known_models;
     settings.models = from.models;
