--- a/tests/libplacement/placement_planner_test.cpp
+++ b/tests/libplacement/placement_planner_test.cpp
@@ -46,6 +46,7 @@
     void own(std::size_t daemon, std::vector<std::string> const& ids)
     {
         std::vector<owned_engine> owned;
+        owned.reserve(ids.size());
         for (auto const& id : ids) {
             owned.push_back({id, engines.at(id).checks_fencing, {item}});
         }
