--- a/src/libcatalogue/src/validation.cpp
+++ b/src/libcatalogue/src/validation.cpp
@@ -4,6 +4,8 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
+#include <unordered_set>
 
 namespace medlarstall::catalogue {
 
@@ -151,7 +153,7 @@
 
 failure check_keys(catalogue const& entries)
 {
-    std::set<std::string> seen;
+    std::unordered_set<std::string_view> seen;
     for (auto const& [name, entry] : entries.organisations) {
         for (auto const& digest : entry.value.key_digests) {
             if (!seen.insert(digest).second) {
--- a/tests/libcatalogue/catalogue_reader_test.cpp
+++ b/tests/libcatalogue/catalogue_reader_test.cpp
@@ -139,6 +139,28 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(reads_the_documented_examples)
+{
+    std::ifstream file{MEDLARSTALL_SOURCE_DIR "/docs/CATALOGUE.md"};
+    std::stringstream text;
+    text << file.rdbuf();
+    auto const page = text.str();
+    std::size_t examples = 0;
+    std::string const fence = "```json\n";
+    for (auto at = page.find(fence); at != std::string::npos;
+         at = page.find(fence, at + 1)) {
+        auto const start = at + fence.size();
+        auto const example =
+            page.substr(start, page.find("```", start) - start);
+        if (example.find("\"edits\"") == std::string::npos) {
+            auto const read = catalogue::catalogue_reader{}.read(example);
+            BOOST_TEST(!failed(read));
+            ++examples;
+        }
+    }
+    BOOST_TEST(examples == 3U);
+}
+
 BOOST_AUTO_TEST_CASE(refuses_missing_fields)
 {
     for (auto const* pointer :
