Prefer owners in the same data centre, and bound subsets sooner

Cause: bench/membership showed 57% of backend servers owned in their data centre, and 265 summaries for each entry daemon at 100 daemons. Change: weight 200 instead of 8 for near daemons, under the same bound on the load; whole groups go only to fleets of up to 24 entry daemons. Conclusion: the bound still decides, so nothing is unbalanced.

--- a/src/libmembership/include/medlarstall/membership/ownership.hpp
+++ b/src/libmembership/include/medlarstall/membership/ownership.hpp
@@ -14,7 +14,7 @@
 {
     double slack = 1.25; ///< Most backend servers of a daemon, against the
                          ///< mean; rounded up.
-    double same_data_centre = 8.0; ///< Weight of daemons that are near.
+    double same_data_centre = 200.0; ///< Weight of daemons that are near.
 };
 
 /// The owner of each backend server, by id. A daemon that is the value owns
--- a/src/libmembership/include/medlarstall/membership/subset.hpp
+++ b/src/libmembership/include/medlarstall/membership/subset.hpp
@@ -15,7 +15,9 @@
 {
     std::size_t least_servers = 4; ///< Of a group, for each entry daemon.
     std::size_t least_entries = 3; ///< For each backend server.
-    std::size_t all_below = 16;    ///< Groups up to this size are sent whole.
+    std::size_t few_entries = 24;  ///< So many entry daemons get all servers
+                                   ///< of a group of at most whole_group.
+    std::size_t whole_group = 64;
     double same_data_centre = 3.0; ///< Weight of backend servers that are
                                    ///< near.
 };
--- a/src/libmembership/src/subset.cpp
+++ b/src/libmembership/src/subset.cpp
@@ -39,7 +39,7 @@
 }
 
 void choose_for_entry(daemon_info const& entry, group_servers const& servers,
-                      subset_settings const& settings,
+                      std::size_t entries, subset_settings const& settings,
                       std::set<std::string>& chosen)
 {
     auto const hash = hash64(entry.id);
@@ -49,9 +49,9 @@
         ranked.emplace_back(score(entry, hash, server, settings),
                             server.info->id);
     }
-    keep_best(ranked, servers.size() <= settings.all_below
-                          ? servers.size()
-                          : settings.least_servers);
+    bool const whole = entries <= settings.few_entries &&
+                       servers.size() <= settings.whole_group;
+    keep_best(ranked, whole ? servers.size() : settings.least_servers);
     for (auto& [value, id] : ranked) {
         chosen.insert(std::move(id));
     }
@@ -94,7 +94,7 @@
     for (auto const& entry : entries) {
         auto& ids = chosen[entry.id];
         for (auto const& [name, group] : groups) {
-            choose_for_entry(entry, group, settings, ids);
+            choose_for_entry(entry, group, entries.size(), settings, ids);
         }
     }
     for (auto const& [name, group] : groups) {
