--- a/src/libcli/include/medlarstall/cli/load_run.hpp
+++ b/src/libcli/include/medlarstall/cli/load_run.hpp
@@ -16,7 +16,10 @@
 struct load_run_settings
 {
     std::vector<std::string> servers; ///< IP:PORT, used in turn.
-    std::size_t max_open = 10'000;    ///< More are counted as failed.
+    /// Asks GET /v1/entries for the daemons to use, as callers do, and again
+    /// when its answer has expired.
+    bool follow_directory = false;
+    std::size_t max_open = 10'000; ///< More are counted as failed.
     std::chrono::milliseconds request_timeout{120'000};
 };
 
--- a/src/libcli/src/load_command.cpp
+++ b/src/libcli/src/load_command.cpp
@@ -33,6 +33,7 @@
     std::uint64_t max_open = 10'000;
     std::uint64_t slowest = 5;
     milliseconds request_timeout{120'000};
+    bool follow_directory = false;
     bool as_json = false;
 };
 
@@ -75,6 +76,9 @@
     set.add_number("slowest", "Slow requests to list", 0, most, target.slowest);
     set.add_span("request-timeout-ms", "Longest time of a request", shortest,
                  longest, target.request_timeout);
+    set.add_switch("follow-directory",
+                   "Use the daemons that GET /v1/entries names, as callers do",
+                   target.follow_directory);
     set.add_switch("json", "Print the figures as JSON", target.as_json);
     return set;
 }
@@ -151,6 +155,7 @@
         return report_unreachable(context, error_of(alive));
     }
     load_run run{{.servers = target.session.servers,
+                  .follow_directory = target.follow_directory,
                   .max_open = target.max_open,
                   .request_timeout = target.request_timeout},
                  load_plan{shape_of(target), value_of(streams)}};
--- a/src/libcli/src/load_run.cpp
+++ b/src/libcli/src/load_run.cpp
@@ -18,6 +18,9 @@
 constexpr std::chrono::seconds progress_interval{1};
 constexpr int first_failure_status = 300;
 constexpr std::size_t longest_message = 120;
+constexpr std::chrono::milliseconds directory_timeout{2'000};
+constexpr std::chrono::milliseconds directory_retry{200};
+constexpr std::size_t max_directory_bytes = std::size_t{1} << 20U;
 
 /// A request that was sent and has not ended.
 struct open_request
@@ -62,10 +65,12 @@
     implementation(load_run_settings from, load_plan planned)
         : settings{std::move(from)}, plan{std::move(planned)},
           statistics{plan.streams()}, http{context, {}}, arrivals{context},
-          ticks{context}
+          ticks{context}, directory{context}
     {}
 
     void schedule_next();
+    void read_directory();
+    void take_directory(backend::fetch_result const& outcome);
     void send(planned_request const& planned);
     void take_head(open_request& request, backend::response_head const& head);
     void take_data(open_request& request, std::string_view data) const;
@@ -81,6 +86,8 @@
     backend::http_client http;
     asio::steady_timer arrivals;
     asio::steady_timer ticks;
+    asio::steady_timer directory;
+    std::size_t directory_turn = 0;
     steady_clock::time_point start;
     steady_clock::time_point last_event;
     std::function<void(load_progress const&)> on_progress;
@@ -236,6 +243,48 @@
     statistics.add(std::move(record));
 }
 
+void load_run::implementation::read_directory()
+{
+    auto const& server =
+        settings.servers[directory_turn++ % settings.servers.size()];
+    backend::outgoing_request request;
+    request.url = "http://" + server + "/v1/entries";
+    request.fields = {
+        {"Authorization", "Bearer " + plan.streams().front().key}};
+    request.total_timeout = directory_timeout;
+    http.fetch(std::move(request), max_directory_bytes,
+               [this](backend::fetch_result const& outcome) {
+                   take_directory(outcome);
+               });
+}
+
+void load_run::implementation::take_directory(
+    backend::fetch_result const& outcome)
+{
+    auto next = directory_retry;
+    auto const* response = std::get_if<backend::fetched_response>(&outcome);
+    auto const answer =
+        response == nullptr
+            ? nlohmann::json{}
+            : nlohmann::json::parse(response->body, nullptr, false);
+    if (answer.is_object() && answer.contains("entries") &&
+        answer["entries"].is_array() && !answer["entries"].empty()) {
+        settings.servers.clear();
+        for (auto const& entry : answer["entries"]) {
+            settings.servers.push_back(entry.value("address", "") + ":" +
+                                       std::to_string(entry.value("port", 0)));
+        }
+        next = std::chrono::milliseconds{
+            answer.value("ttl_ms", directory_retry.count())};
+    }
+    directory.expires_after(next);
+    directory.async_wait([this](asio::error_code failure) {
+        if (!failure && !planned_all) {
+            read_directory();
+        }
+    });
+}
+
 void load_run::implementation::tick()
 {
     ticks.expires_after(progress_interval);
@@ -262,6 +311,9 @@
     parts_->start = steady_clock::now();
     parts_->last_event = parts_->start;
     parts_->schedule_next();
+    if (parts_->settings.follow_directory) {
+        parts_->read_directory();
+    }
     parts_->tick();
     while (!parts_->planned_all || parts_->progress.open > 0) {
         parts_->context.run_one();
