Do not use a request that a bounce hands over

Cause: the address sanitizer found that bounced() went on with the group of a request after handing it over, when its backend server had been removed. Change: the group is taken before; a focused test bounces a request at the last backend server. Conclusion: a request's record is not touched after it may have ended.

--- a/src/libscheduling/src/owner_scheduler_state.cpp
+++ b/src/libscheduling/src/owner_scheduler_state.cpp
@@ -160,11 +160,12 @@
     if (record == nullptr || record->server == nullptr) {
         return;
     }
+    auto& group = *record->group;
     record->server->observe_bounce(now);
     requeue(*record, false, now);
-    hand_over_stranded(*record->group, actions);
-    forget_removed_servers(*record->group);
-    settle(*record->group, now, actions);
+    hand_over_stranded(group, actions); // May end the request.
+    forget_removed_servers(group);
+    settle(group, now, actions);
 }
 
 void owner_scheduler::state::preempted(request_id id, time_point now,
--- a/tests/libscheduling/owner_scheduler_test.cpp
+++ b/tests/libscheduling/owner_scheduler_test.cpp
@@ -97,6 +97,18 @@
     BOOST_TEST(test.dispatched().empty());
 }
 
+BOOST_AUTO_TEST_CASE(bounce_of_the_last_backend_server_hands_over)
+{
+    scheduler_fixture test{1};
+    test.enqueue(test.make(1, 0));
+    test.scheduler.remove_backend_server("engine0", test.now, test.actions);
+    test.scheduler.bounced(1, test.now, test.actions);
+    auto const given = test.take<hand_over>();
+    BOOST_REQUIRE(given.size() == 1);
+    BOOST_TEST(!given[0].started);
+    BOOST_TEST(test.scheduler.queued() == 0);
+}
+
 BOOST_AUTO_TEST_CASE(victim_is_the_one_that_wastes_least)
 {
     scheduler_fixture test{3};
