--- a/src/libmembership/include/medlarstall/membership/live_view.hpp
+++ b/src/libmembership/include/medlarstall/membership/live_view.hpp
@@ -21,8 +21,8 @@
 struct live_view_settings
 {
     std::string daemon;                      ///< Id of this daemon.
-    std::chrono::milliseconds interval{500}; ///< Between heartbeats.
-    std::chrono::milliseconds timeout{1250}; ///< Silence that breaks a link.
+    std::chrono::milliseconds interval{600}; ///< Between heartbeats.
+    std::chrono::milliseconds timeout{1450}; ///< Silence that breaks a link.
     std::chrono::milliseconds probe{2000};   ///< Between probes of the lost.
     std::chrono::milliseconds pause{1000};   ///< Between calls of tick() that
                                              ///< tells of a pause of its own.
--- a/src/libmembership/include/medlarstall/membership/share_tree.hpp
+++ b/src/libmembership/include/medlarstall/membership/share_tree.hpp
@@ -16,9 +16,9 @@
 /// Settings of a share_tree.
 struct share_tree_settings
 {
-    std::size_t message_bytes = 1'000; ///< Rows in one message, about.
-    std::uint64_t kept_windows = 6;    ///< Windows that figures are kept of.
-    unsigned samples = 10; ///< An organisation comes first once in so many
+    std::size_t message_bytes = 300; ///< Rows in one message, about.
+    std::uint64_t kept_windows = 6;  ///< Windows that figures are kept of.
+    unsigned samples = 24; ///< An organisation comes first once in so many
                            ///< windows, however small it is.
 };
 
--- a/src/libmembership/include/medlarstall/membership/subset.hpp
+++ b/src/libmembership/include/medlarstall/membership/subset.hpp
@@ -3,6 +3,7 @@
 
 #include <medlarstall/membership/instances.hpp>
 
+#include <chrono>
 #include <cstddef>
 #include <map>
 #include <string>
@@ -22,6 +23,24 @@
                                    ///< near.
 };
 
+/// Settings of summary_interval().
+struct summary_settings
+{
+    double bytes_a_second = 1'200.0; ///< That a daemon sends.
+    std::chrono::milliseconds least{500};
+    std::chrono::milliseconds most{15'000};
+};
+
+/// Chooses how often an owner sends summaries that nobody asked for. Answers
+/// carry the summary of their backend server as well, so those in use are
+/// known better than this.
+/// \param bytes bytes of one round: all messages of this owner, with what
+///     transports add
+/// \param settings budget
+/// \return time between rounds
+[[nodiscard]] std::chrono::milliseconds
+summary_interval(std::size_t bytes, summary_settings const& settings = {});
+
 /// For each entry daemon the backend servers whose summaries it gets, by ids.
 using subset_map = std::map<std::string, std::vector<std::string>>;
 
--- a/src/libmembership/include/medlarstall/membership/tree_exchange.hpp
+++ b/src/libmembership/include/medlarstall/membership/tree_exchange.hpp
@@ -21,9 +21,9 @@
 {
     std::string daemon; ///< Id of this daemon.
     std::string data_centre;
-    std::chrono::milliseconds interval{2000};        ///< Between messages.
+    std::chrono::milliseconds interval{4000};        ///< Between messages.
     std::chrono::milliseconds quick_interval{200};   ///< When versions change.
-    std::chrono::milliseconds load_interval{10'000}; ///< Between small changes
+    std::chrono::milliseconds load_interval{20'000}; ///< Between small changes
                                                      ///< of the load.
     share_tree_settings shares;
 };
@@ -98,8 +98,10 @@
         std::optional<in_force_summary> sent_part;
         std::vector<in_force_summary> sent_in_force;
         bool was_sent = false;
+        bool urgent = false; ///< A daemon inside the data centre drains.
     };
 
+    void hurry(entry_load const& load);
     [[nodiscard]] bool near(std::string const& daemon) const;
     [[nodiscard]] in_force_summary own_part() const;
     [[nodiscard]] std::vector<in_force_summary>
--- a/src/libmembership/src/live_view.cpp
+++ b/src/libmembership/src/live_view.cpp
@@ -220,9 +220,9 @@
 
 bool live_view::sound(link const& one, time_point now) const
 {
-    // The other end may echo only once in an interval.
+    // An echo is older than a heartbeat by up to half an interval.
     return lively(one, now) &&
-           now - one.echoed < settings_.timeout + settings_.interval;
+           now - one.echoed < settings_.timeout + settings_.interval / 2;
 }
 
 tick_actions live_view::tick(time_point now)
--- a/src/libmembership/src/subset.cpp
+++ b/src/libmembership/src/subset.cpp
@@ -77,6 +77,16 @@
 
 } // namespace
 
+std::chrono::milliseconds summary_interval(std::size_t bytes,
+                                           summary_settings const& settings)
+{
+    std::chrono::duration<double> const wanted{static_cast<double>(bytes) /
+                                               settings.bytes_a_second};
+    return std::clamp(
+        std::chrono::duration_cast<std::chrono::milliseconds>(wanted),
+        settings.least, settings.most);
+}
+
 subset_map choose_subsets(std::vector<daemon_info> const& entries,
                           std::vector<backend_server_info> const& servers,
                           subset_settings settings)
--- a/src/libmembership/src/tree_exchange.cpp
+++ b/src/libmembership/src/tree_exchange.cpp
@@ -68,6 +68,14 @@
     });
 }
 
+/// Passes on at once that a daemon drains.
+void tree_exchange::hurry(entry_load const& load)
+{
+    for (auto& [id, one] : links_) {
+        one.urgent = one.urgent || load.draining;
+    }
+}
+
 bool tree_exchange::near(std::string const& daemon) const
 {
     return std::ranges::find(position_.roots, daemon) == position_.roots.end();
@@ -85,6 +93,9 @@
         }
     }
     load_changed_ = now;
+    if (draining) {
+        hurry({.draining = true});
+    }
     loads_.merge({.daemon = settings_.daemon,
                   .incarnation = incarnation_,
                   .version = ++load_version_,
@@ -120,8 +131,8 @@
     one.heard_incarnation = message.incarnation;
     one.heard_sequence = message.sequence;
     for (auto const& load : message.loads) {
-        if (load.daemon != settings_.daemon) {
-            loads_.merge(load, from);
+        if (load.daemon != settings_.daemon && loads_.merge(load, from)) {
+            hurry(load);
         }
     }
     if (message.part) {
@@ -201,6 +212,7 @@
             continue;
         }
         bool const news =
+            (one.urgent && loads_.has_pending(id)) ||
             one.sent_in_force != for_link(id) ||
             (id == position_.parent && one.sent_part != own_part());
         if (one.was_sent && !news && age < settings_.interval) {
@@ -214,6 +226,7 @@
         bool const empty = message.loads.empty() && !message.part &&
                            message.in_force.empty() && message.shares.empty();
         one.sent = now;
+        one.urgent = false;
         one.was_sent = true;
         if (!empty) {
             message.sequence = ++one.sequence;
--- a/tests/libmembership/ownership_test.cpp
+++ b/tests/libmembership/ownership_test.cpp
@@ -138,6 +138,14 @@
               choose_subsets(shuffled(entries, seed), shuffled(servers, seed)));
 }
 
+BOOST_AUTO_TEST_CASE(summaries_keep_their_budget)
+{
+    using namespace std::chrono_literals;
+    BOOST_TEST((summary_interval(560) == 500ms));
+    BOOST_TEST((summary_interval(12'000) == 10'000ms));
+    BOOST_TEST((summary_interval(100'000) == 15'000ms));
+}
+
 BOOST_AUTO_TEST_CASE(subsets_do_not_grow_with_the_product)
 {
     auto const subsets =
