End the program once an operator's drain has ended

Cause: after POST /admin/v1/drain the daemon stopped its work, but the process ran on, since only the drain that a signal asks for ended it; `medlarstall drain` waited in vain and returned 6. Change: daemon::when_drained() tells the owner of a daemon about every drain; medlarstalld ends on it. Conclusion: the two ways to stop a daemon end alike.

--- a/src/libdaemon/include/medlarstall/daemon/daemon.hpp
+++ b/src/libdaemon/include/medlarstall/daemon/daemon.hpp
@@ -43,6 +43,11 @@
     ///     if nothing was cut off
     void drain(std::function<void(bool)> on_drained);
 
+    /// Sets what is called each time that a graceful stop has ended, whoever
+    /// asked for it: drain() or an operator.
+    /// \param handler as for drain()
+    void when_drained(std::function<void(bool)> handler);
+
 private:
     class implementation;
     std::shared_ptr<implementation> implementation_;
--- a/src/libdaemon/src/daemon.cpp
+++ b/src/libdaemon/src/daemon.cpp
@@ -15,6 +15,11 @@
     return implementation_->start();
 }
 
+void daemon::when_drained(std::function<void(bool)> handler)
+{
+    implementation_->when_drained(std::move(handler));
+}
+
 void daemon::drain(std::function<void(bool)> on_drained)
 {
     implementation_->drain(std::move(on_drained));
--- a/src/libdaemon/src/daemon_implementation.cpp
+++ b/src/libdaemon/src/daemon_implementation.cpp
@@ -266,7 +266,9 @@
     instances_.remove([this, clean, alive = std::weak_ptr{alive_}] {
         if (!alive.expired()) {
             auto const handler = std::exchange(on_drained_, nullptr);
+            auto const always = when_drained_;
             handler(clean);
+            always(clean);
         }
     });
 }
--- a/src/libdaemon/src/daemon_implementation.hpp
+++ b/src/libdaemon/src/daemon_implementation.hpp
@@ -33,6 +33,10 @@
 
     result<daemon_endpoints> start();
     void drain(std::function<void(bool)> on_drained);
+    void when_drained(std::function<void(bool)> handler)
+    {
+        when_drained_ = std::move(handler);
+    }
 
 private:
     void add_endpoints();
@@ -65,6 +69,8 @@
     time_point drain_until_;
     bool handed_over_ = false;
     std::function<void(bool)> on_drained_;
+    std::function<void(bool)> when_drained_ = [](bool) {
+    };
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/src/medlarstalld/main.cpp
+++ b/src/medlarstalld/main.cpp
@@ -155,15 +155,16 @@
               << " port=" << bound.port << " peer_port=" << bound.peer_port
               << std::endl;
     int code = EXIT_SUCCESS;
+    router.when_drained([&](bool clean) {
+        code = clean ? EXIT_SUCCESS : exit_failure;
+        io.stop();
+    });
     asio::signal_set signals{io, SIGTERM, SIGINT};
     signals.async_wait([&](auto const& failure, int) {
         if (failure) {
             return;
         }
-        router.drain([&](bool clean) {
-            code = clean ? EXIT_SUCCESS : exit_failure;
-            io.stop();
-        });
+        router.drain([](bool) {});
     });
     io.run();
     return code;
