Refuse requests that crash engines, and add up shares over the fleet

Cause: the path did not tell owners' crashes to the other daemons, so a request that crashes its engine took one down at each retry; an organisation's flood through many owners was not counted as one; a daemon that was dropped left calls behind that used it; and a request whose first attempt may have run could be reported as not run when a later one was refused. Change: owners record crashes and gate copies of suspects; every attempt is judged again; crashes and clearances spread with the heartbeats. Shares travel along the aggregation tree and reach the scheduler as remote usage; members see the last closed window. Open calls end with their daemon. An error speaks of all attempts of its request.

--- a/src/libdaemon/src/call_routing.cpp
+++ b/src/libdaemon/src/call_routing.cpp
@@ -54,6 +54,27 @@
             .fingerprint = fingerprint_};
 }
 
+std::optional<api_error> call_routing::quarantined()
+{
+    using routing::suspicion;
+    auto const level =
+        node_.suspects.judge(fingerprint_, decision_clock::now());
+    request_.isolated = level != suspicion::none;
+    if (level != suspicion::refused) {
+        return std::nullopt;
+    }
+    ++node_.figures.quarantined;
+    log_line{severity::warning, "quarantine"}
+        .with("organisation", request_.organisation)
+        .with("fingerprint", fingerprint_);
+    constexpr int unprocessable = 422;
+    return about_all_attempts(
+        {.status = unprocessable,
+         .code = "request_quarantined",
+         .message = "backend servers crashed each time that they ran this "
+                    "request"});
+}
+
 std::optional<call_target> call_routing::choose(std::string const& attempt)
 {
     auto const now = decision_clock::now();
@@ -99,6 +120,14 @@
     return call_target{chosen->backend_server, chosen->owner};
 }
 
+api_error call_routing::about_all_attempts(api_error problem) const
+{
+    if (problem.run == run_state::not_run) {
+        problem.run = ran_;
+    }
+    return problem;
+}
+
 next_step call_routing::after_no_choice()
 {
     // What was excluded may be all there is; the next choice may use it.
@@ -118,7 +147,7 @@
 {
     node_.router.note_refusal(query(), target.backend_server);
     if (!refusal.elsewhere) {
-        return refused_error(refusal);
+        return about_all_attempts(refused_error(refusal));
     }
     if (refusal.code == "unreachable") {
         exclude_backend_server(target.backend_server);
@@ -145,19 +174,22 @@
     case spill_action::pause:
         excluded_owners_.clear();
         if (decision_clock::now() + decision.delay > request_.deadline) {
-            return refused_error(refusal);
+            return about_all_attempts(refused_error(refusal));
         }
         return try_again{decision.delay};
     case spill_action::shed:
         break;
     }
-    return refused_error(refusal);
+    return about_all_attempts(refused_error(refusal));
 }
 
 next_step call_routing::after_failure(call_target const& target,
                                       std::string const& code,
                                       std::string const& message, run_state ran)
 {
+    if (ran != run_state::not_run) {
+        ran_ = ran;
+    }
     exclude_backend_server(target.backend_server);
     auto const kind = code == "silent" ? routing::failure_kind::timeout
                                        : routing::failure_kind::error;
@@ -195,7 +227,7 @@
     case retry_action::give_up:
         break;
     }
-    return problem;
+    return about_all_attempts(std::move(problem));
 }
 
 void call_routing::exclude_owner(std::string const& owner)
--- a/src/libdaemon/src/call_routing.hpp
+++ b/src/libdaemon/src/call_routing.hpp
@@ -49,6 +49,11 @@
                  std::vector<routing::prefix_hash> prefixes,
                  std::size_t prompt_bytes, std::uint64_t fingerprint);
 
+    /// Judges again whether the request crashes backend servers, since other
+    /// daemons or an earlier attempt may have told of it.
+    /// \return why it may not be sent, or nothing
+    [[nodiscard]] std::optional<api_error> quarantined();
+
     /// Chooses a backend server and notes that the request is sent there.
     /// \param attempt identifier for the log line
     /// \return where to send the attempt, or nothing if none can run it now
@@ -88,6 +93,12 @@
         return request_;
     }
 
+    /// Makes an error say what is known of all attempts, not just the last: a
+    /// request is "not run" only if no attempt may have run.
+    /// \param problem what the last attempt ended with
+    /// \return the error for the caller
+    [[nodiscard]] api_error about_all_attempts(api_error problem) const;
+
     [[nodiscard]] std::uint64_t fingerprint() const { return fingerprint_; }
 
 private:
@@ -108,6 +119,7 @@
     std::vector<std::string> excluded_owners_;
     std::optional<call_target> offered_; ///< By the spill policy.
     routing::retry_history history_;
+    run_state ran_ = run_state::not_run; ///< Of the attempts that failed.
 };
 
 } // namespace medlarstall::daemon
--- a/src/libdaemon/src/chat_call.cpp
+++ b/src/libdaemon/src/chat_call.cpp
@@ -54,6 +54,11 @@
             self->check_caller();
         }
     });
+    node_.calls.add(this, [weak = weak_from_this()] {
+        if (auto const self = weak.lock()) {
+            self->abandon();
+        }
+    });
     guard_deadline();
     send();
 }
@@ -80,6 +85,10 @@
 
 void chat_call::send()
 {
+    if (auto problem = routing_.quarantined()) {
+        give_up(*std::move(problem));
+        return;
+    }
     // A backend server takes an attempt once, so each gets its own name.
     auto id = to_string(node_.new_uuid());
     auto target = routing_.choose(id);
@@ -293,8 +302,10 @@
         return;
     }
     node_.health.record_success(from->target.backend_server);
-    node_.suspects.record_success(routing_.fingerprint(),
-                                  decision_clock::now());
+    if (auto const cleared = node_.suspects.record_success(
+            routing_.fingerprint(), decision_clock::now())) {
+        node_.tell_suspects(*cleared);
+    }
     if (from->tokens > 1) {
         auto const gap = span(first_token_at_, last_token_at_) /
                          static_cast<std::int64_t>(from->tokens - 1);
@@ -466,6 +477,7 @@
         return;
     }
     ended_ = true;
+    node_.calls.remove(this);
     node_.figures.finished(routing_.request().service_class, outcome);
     retry_timer_.cancel();
     hedge_timer_.cancel();
@@ -477,6 +489,17 @@
     caller_->on_sent(nullptr);
 }
 
+void chat_call::abandon()
+{
+    ended_ = true;
+    retry_timer_.cancel();
+    hedge_timer_.cancel();
+    deadline_timer_.cancel();
+    attempts_.clear();
+    direct_.reset();
+    caller_->abort();
+}
+
 void chat_call::caller_left()
 {
     log_line{severity::info, "caller_left"}.with("request", id_);
--- a/src/libdaemon/src/chat_call.hpp
+++ b/src/libdaemon/src/chat_call.hpp
@@ -85,6 +85,7 @@
     void note_first_token(attempt const& from);
     void give_up(api_error problem);
     void end(std::string const& outcome);
+    void abandon();
     void caller_left();
     void guard_deadline();
     void check_caller();
--- a/src/libdaemon/src/daemon_implementation.cpp
+++ b/src/libdaemon/src/daemon_implementation.cpp
@@ -4,6 +4,7 @@
 
 #include <medlarstall/entry/exchange.hpp>
 #include <medlarstall/peer/peer_stream.hpp>
+#include <medlarstall/support/digest.hpp>
 #include <medlarstall/support/log.hpp>
 
 namespace medlarstall::daemon {
@@ -43,17 +44,17 @@
                  }},
       fleet_{node_, catalogue_,
              [this] {
-                 std::vector<std::string> ids;
-                 for (auto const& [id, one] : node_.known.daemons) {
-                     ids.push_back(id);
-                 }
-                 claims_.prefer_writers(ids);
+                 daemons_changed();
              }},
+      shares_{node_,
+              [this](std::string const& daemon, auto const& message) {
+                  fleet_.send(daemon, message);
+              }},
       instances_{io, platform_,
                  [this](auto const& list) {
                      fleet_.take_list(list);
                  }},
-      members_{node_, entry_, queries_,
+      members_{node_, entry_, queries_, shares_,
                [this] {
                    return front_.open_exchanges();
                }},
@@ -73,15 +74,41 @@
       drain_timer_{io}
 {
     node_.owner = &owner_;
+    node_.tell_suspects = [this](auto const& record) {
+        fleet_.tell(record);
+    };
+    owner_.watch_crashes(
+        [this](std::string const& backend_server, auto const& running) {
+            auto const crash =
+                hash64(node_.settings.id + backend_server, node_.random());
+            fleet_.tell(node_.suspects.record_crash(
+                crash, backend_server, running, decision_clock::now()));
+        },
+        [this](routing::request_fingerprint fingerprint) {
+            return node_.suspects.judge(fingerprint, decision_clock::now());
+        });
     add_endpoints();
 }
 
 daemon::implementation::~implementation()
 {
     alive_.reset();
+    node_.calls.abandon_all();
     node_.owner = nullptr;
 }
 
+void daemon::implementation::daemons_changed()
+{
+    std::vector<std::string> ids;
+    std::vector<daemon_info> live;
+    for (auto const& [id, one] : node_.known.daemons) {
+        ids.push_back(id);
+        live.push_back(one);
+    }
+    claims_.prefer_writers(ids);
+    shares_.set_daemons(live);
+}
+
 void daemon::implementation::add_endpoints()
 {
     api_.add("POST", "/v1/chat/completions",
@@ -166,7 +193,12 @@
              .port = value_of(port),
              .peer_port = value_of(peer_port),
              .data_centre = settings.data_centre};
+    fleet_.on_tree_message(
+        [this](std::string const& from, auto const& message) {
+            shares_.take(from, message);
+        });
     fleet_.start(self_);
+    shares_.start();
     if (settings.standalone) {
         auto const adopted = catalogue_.adopt_file(settings.catalogue_text);
         if (failed(adopted)) {
--- a/src/libdaemon/src/daemon_implementation.hpp
+++ b/src/libdaemon/src/daemon_implementation.hpp
@@ -13,6 +13,7 @@
 #include "order_server.hpp"
 #include "owner_service.hpp"
 #include "peer_queries.hpp"
+#include "share_service.hpp"
 
 #include <medlarstall/daemon/daemon.hpp>
 #include <medlarstall/peer/peer_server.hpp>
@@ -39,6 +40,7 @@
     }
 
 private:
+    void daemons_changed();
     void add_endpoints();
     void show_metrics(std::shared_ptr<entry::exchange> const& caller) const;
     void handle(std::shared_ptr<entry::exchange> caller);
@@ -57,6 +59,7 @@
     peer_queries queries_;
     catalogue_service catalogue_;
     fleet_service fleet_;
+    share_service shares_;
     instance_service instances_;
     member_service members_;
     admin_service admin_;
--- a/src/libdaemon/src/entry_service.cpp
+++ b/src/libdaemon/src/entry_service.cpp
@@ -131,26 +131,6 @@
                       *std::get<catalogue::organisation const*>(known));
 }
 
-std::optional<api_error>
-entry_service::quarantined(std::uint64_t fingerprint,
-                           scheduling::request& request) const
-{
-    using routing::suspicion;
-    auto const level = node_.suspects.judge(fingerprint, decision_clock::now());
-    request.isolated = level != suspicion::none;
-    if (level != suspicion::refused) {
-        return std::nullopt;
-    }
-    ++node_.figures.quarantined;
-    log_line{severity::warning, "quarantine"}
-        .with("organisation", request.organisation)
-        .with("fingerprint", fingerprint);
-    return api_error{.status = 422,
-                     .code = "request_quarantined",
-                     .message = "backend servers crashed each time that they "
-                                "ran this request"};
-}
-
 void entry_service::chat(std::shared_ptr<entry::exchange> caller)
 {
     auto const& http = caller->request();
@@ -182,10 +162,6 @@
     request.expected_output_tokens = asked.max_tokens.value_or(0);
     auto const fingerprint =
         routing::fingerprint_of(request.organisation, http.body);
-    if (auto const problem = quarantined(fingerprint, request)) {
-        caller->respond(to_response(*problem));
-        return;
-    }
     std::make_shared<chat_call>(node_, std::move(caller), std::move(asked),
                                 std::move(request), fingerprint)
         ->start();
--- a/src/libdaemon/src/entry_service.hpp
+++ b/src/libdaemon/src/entry_service.hpp
@@ -55,9 +55,6 @@
     [[nodiscard]] std::variant<caller_identity, api_error>
     with_class(entry::http_request const& request,
                catalogue::organisation const& organisation) const;
-    [[nodiscard]] std::optional<api_error>
-    quarantined(std::uint64_t fingerprint, scheduling::request& request) const;
-
     node& node_;
     claim_service& claims_;
 };
--- a/src/libdaemon/src/fleet_service.cpp
+++ b/src/libdaemon/src/fleet_service.cpp
@@ -211,6 +211,10 @@
     if (message.contains("s")) {
         take_summaries(message);
     }
+    if (message.contains("t") && message.contains("from") &&
+        message["from"].is_string() && take_tree_) {
+        take_tree_(message["from"], message["t"]);
+    }
     if (message.contains("c")) {
         catalogue_.take_updates(message["c"]);
     }
--- a/src/libdaemon/src/fleet_service.hpp
+++ b/src/libdaemon/src/fleet_service.hpp
@@ -59,6 +59,16 @@
         links_.accept(stream);
     }
 
+    /// Sends a message to another daemon.
+    void send(std::string const& daemon, nlohmann::json const& message);
+
+    /// Sets who takes the messages of the aggregation tree.
+    void on_tree_message(
+        std::function<void(std::string const&, nlohmann::json const&)> take)
+    {
+        take_tree_ = std::move(take);
+    }
+
     /// \return bytes of messages sent to other daemons so far
     [[nodiscard]] std::uint64_t bytes_sent() const { return bytes_sent_; }
 
@@ -67,7 +77,6 @@
     void take_message(nlohmann::json const& message);
     void take_heartbeat(nlohmann::json const& value);
     void take_summaries(nlohmann::json const& message);
-    void send(std::string const& daemon, nlohmann::json const& message);
     void send_catalogue(std::string const& daemon, std::uint64_t offset);
     void note_leaving(backend_server_info const& server);
     void recompute();
@@ -82,6 +91,7 @@
     catalogue_service& catalogue_;
     std::function<void()> on_changed_;
     control_links links_;
+    std::function<void(std::string const&, nlohmann::json const&)> take_tree_;
     std::unique_ptr<membership::live_view> view_;
     daemon_info self_;
     std::map<std::string, backend_server_info, std::less<>> listed_servers_;
--- a/src/libdaemon/src/member_service.cpp
+++ b/src/libdaemon/src/member_service.cpp
@@ -6,6 +6,7 @@
 #include "node.hpp"
 #include "owner_service.hpp"
 #include "peer_queries.hpp"
+#include "share_service.hpp"
 
 #include <medlarstall/entry/exchange.hpp>
 
@@ -69,8 +70,9 @@
 
 member_service::member_service(node& shared, entry_service const& entry,
                                peer_queries& queries,
+                               share_service const& shares,
                                std::function<std::size_t()> open_requests)
-    : node_{shared}, entry_{entry}, queries_{queries},
+    : node_{shared}, entry_{entry}, queries_{queries}, shares_{shares},
       open_requests_{std::move(open_requests)}
 {
     queries_.answer("in-force", [this](json const&) {
@@ -219,6 +221,7 @@
             }
             caller->respond(
                 json_response({{"organisations", std::move(list)},
+                               {"last_window", shares_.last_window()},
                                {"daemons_asked", node_.known.daemons.size()},
                                {"daemons_answered", asked},
                                {"catalogue_offset", node_.catalogue.version},
--- a/src/libdaemon/src/member_service.hpp
+++ b/src/libdaemon/src/member_service.hpp
@@ -17,6 +17,7 @@
 class entry_service;
 class owner_service;
 class peer_queries;
+class share_service;
 struct node;
 
 /// What every member may see: which address to use, what each organisation
@@ -27,9 +28,10 @@
     /// \param shared parts of this daemon
     /// \param entry knows the callers
     /// \param queries asks the other daemons
+    /// \param shares what the fleet served by window
     /// \param open_requests tells how many requests are being answered here
     member_service(node& shared, entry_service const& entry,
-                   peer_queries& queries,
+                   peer_queries& queries, share_service const& shares,
                    std::function<std::size_t()> open_requests);
 
     /// Adds the endpoints of members.
@@ -49,6 +51,7 @@
     node& node_;
     entry_service const& entry_;
     peer_queries& queries_;
+    share_service const& shares_;
     std::function<std::size_t()> open_requests_;
 };
 
--- a/src/libdaemon/src/node.hpp
+++ b/src/libdaemon/src/node.hpp
@@ -1,6 +1,7 @@
 #ifndef MEDLARSTALL_DAEMON_NODE_HPP
 #define MEDLARSTALL_DAEMON_NODE_HPP
 
+#include "call_registry.hpp"
 #include "catalogue_view.hpp"
 #include "fleet.hpp"
 #include "metrics.hpp"
@@ -18,6 +19,7 @@
 
 #include <asio/io_context.hpp>
 
+#include <functional>
 #include <random>
 
 namespace medlarstall::daemon {
@@ -43,6 +45,7 @@
     daemon_settings settings;
     std::mt19937_64 random;
     metrics figures;
+    call_registry calls;
     catalogue_view catalogue;
     fleet known;
     backend::http_client client;
@@ -54,6 +57,10 @@
     routing::health_monitor health;
     routing::quarantine suspects;
     owner_service* owner = nullptr;
+    /// Tells the other daemons of a crash or a clearance.
+    std::function<void(routing::quarantine_record const&)> tell_suspects =
+        [](auto const&) {
+        };
     bool draining = false;
 };
 
--- a/src/libdaemon/src/owned_order.cpp
+++ b/src/libdaemon/src/owned_order.cpp
@@ -67,6 +67,15 @@
     sink_.send(std::move(event));
 }
 
+bool owned_order::count_crash_at(std::string const& backend_server)
+{
+    if (crash_counted_ || !running() || server_.id != backend_server) {
+        return false;
+    }
+    crash_counted_ = true;
+    return true;
+}
+
 void owned_order::log_dispatch(scheduling::dispatch const& action) const
 {
     log_line{severity::info, "dispatch"}
@@ -194,6 +203,9 @@
         .with("code", failure.code)
         .with("message", failure.message)
         .with("crashed", failure.crashed);
+    if (failure.crashed) {
+        owner_.note_crash(server_.id);
+    }
     if (failure.not_run && !first_seen_) {
         bool const elsewhere = failure.code != "engine_refused";
         end(work_refused{failure.code, failure.message, milliseconds{0},
--- a/src/libdaemon/src/owned_order.hpp
+++ b/src/libdaemon/src/owned_order.hpp
@@ -38,6 +38,10 @@
         return stream_ != nullptr || transfer_ != 0;
     }
 
+    /// Counts the order as one that ran at a backend server when it crashed.
+    /// \return false if it did not run there or was counted before
+    [[nodiscard]] bool count_crash_at(std::string const& backend_server);
+
     /// Sends the order to a backend server.
     void dispatch(scheduling::dispatch const& action,
                   backend_server_info const& server);
@@ -79,6 +83,7 @@
     bool refused_by_service_ = false;
     bool reading_ = true;
     bool ended_ = false;
+    bool crash_counted_ = false;
     time_point dispatched_at_;
 };
 
--- a/src/libdaemon/src/owner_service.cpp
+++ b/src/libdaemon/src/owner_service.cpp
@@ -57,14 +57,70 @@
     auto made =
         std::make_shared<owned_order>(*this, std::move(order), std::move(sink));
     orders_.emplace(id, made);
-    auto const queued = scheduler_.enqueue(made->order().request,
-                                           decision_clock::now(), actions_);
-    if (queued) {
-        apply();
+    if (!made->order().request.isolated ||
+        gate_.enter(made->order().fingerprint, id)) {
+        enqueue(*made);
     }
     return id;
 }
 
+void owner_service::enqueue(owned_order const& order)
+{
+    if (scheduler_.enqueue(order.order().request, decision_clock::now(),
+                           actions_)) {
+        apply();
+    }
+}
+
+void owner_service::watch_crashes(crash_handler on_crash, suspicion_judge judge)
+{
+    on_crash_ = std::move(on_crash);
+    judge_ = std::move(judge);
+}
+
+void owner_service::leave_gate(owned_order const& order)
+{
+    if (!order.order().request.isolated) {
+        return;
+    }
+    auto const next = gate_.leave(order.order().fingerprint, order.id());
+    auto const found = next ? orders_.find(*next) : orders_.end();
+    if (found == orders_.end()) {
+        return;
+    }
+    auto const waiting = found->second;
+    if (judge_ &&
+        judge_(waiting->order().fingerprint) == routing::suspicion::refused) {
+        orders_.erase(found);
+        leave_gate(*waiting);
+        waiting->emit(work_refused{"request_quarantined",
+                                   "backend servers crashed each time that "
+                                   "they ran this request",
+                                   milliseconds{0}, false});
+        return;
+    }
+    enqueue(*waiting);
+}
+
+void owner_service::note_crash(std::string const& backend_server)
+{
+    std::vector<routing::running_request> running;
+    for (auto const& [id, order] : orders_) {
+        if (order->count_crash_at(backend_server)) {
+            running.push_back({.fingerprint = order->order().fingerprint,
+                               .level = order->order().request.isolated
+                                            ? routing::suspicion::isolated
+                                            : routing::suspicion::none});
+        }
+    }
+    if (!running.empty() && on_crash_) {
+        log_line{severity::warning, "crash"}
+            .with("backend_server", backend_server)
+            .with("running", running.size());
+        on_crash_(backend_server, running);
+    }
+}
+
 void owner_service::cancel(scheduling::request_id id)
 {
     auto const node = orders_.extract(id);
@@ -73,6 +129,7 @@
     }
     node.mapped()->cancel();
     scheduler_.cancelled(id, decision_clock::now(), actions_);
+    leave_gate(*node.mapped());
     apply();
 }
 
@@ -201,6 +258,7 @@
         return;
     }
     ++metrics_.refusals;
+    leave_gate(*node.mapped());
     auto const& request = node.mapped()->order().request;
     log_line{severity::info, "refuse"}
         .with("attempt", node.mapped()->order().attempt)
@@ -232,6 +290,7 @@
     if (node.empty()) {
         return;
     }
+    leave_gate(*node.mapped());
     if (action.started) {
         node.mapped()->emit(work_failed{
             "owner_changed", "no backend server of this owner can go on", false,
--- a/src/libdaemon/src/owner_service.hpp
+++ b/src/libdaemon/src/owner_service.hpp
@@ -5,11 +5,14 @@
 #include "fleet.hpp"
 #include "work_order.hpp"
 
+#include <medlarstall/routing/quarantine.hpp>
+#include <medlarstall/routing/suspect_gate.hpp>
 #include <medlarstall/scheduling/owner_scheduler.hpp>
 
 #include <asio/steady_timer.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -25,6 +28,15 @@
 class metrics;
 class owned_order;
 
+/// Tells of a backend server that crashed and of what ran there.
+using crash_handler =
+    std::function<void(std::string const& backend_server,
+                       std::vector<routing::running_request> const& running)>;
+
+/// Tells how a request that is suspected of crashing may run.
+using suspicion_judge =
+    std::function<routing::suspicion(routing::request_fingerprint)>;
+
 /// The owner side of a daemon: queues orders for the backend servers that it
 /// owns, sends them there as the scheduler decides, and passes the answers on.
 class owner_service
@@ -42,6 +54,9 @@
     owner_service(owner_service const&) = delete;
     owner_service& operator=(owner_service const&) = delete;
 
+    /// Sets who is told of crashes and who judges suspects.
+    void watch_crashes(crash_handler on_crash, suspicion_judge judge);
+
     /// Queues an order.
     /// \param order what to run
     /// \param sink receives its events
@@ -89,6 +104,9 @@
 private:
     friend class owned_order;
 
+    void enqueue(owned_order const& order);
+    void leave_gate(owned_order const& order);
+    void note_crash(std::string const& backend_server);
     void apply();
     void perform(scheduling::dispatch const& action);
     void perform(scheduling::refuse const& action);
@@ -114,6 +132,9 @@
     std::map<std::string, backend_server_info, std::less<>> servers_;
     std::map<std::string, catalogue::group_kind, std::less<>> group_kinds_;
     std::map<std::string, std::vector<std::string>, std::less<>> models_;
+    routing::suspect_gate gate_;
+    crash_handler on_crash_;
+    suspicion_judge judge_;
     asio::steady_timer wake_timer_;
     asio::steady_timer load_timer_;
     asio::steady_timer reader_timer_;
--- a/src/libdaemon/src/service_call.cpp
+++ b/src/libdaemon/src/service_call.cpp
@@ -58,6 +58,11 @@
             self->check_caller();
         }
     });
+    node_.calls.add(this, [weak = weak_from_this()] {
+        if (auto const self = weak.lock()) {
+            self->abandon();
+        }
+    });
     guard_deadline();
     send();
 }
@@ -97,6 +102,10 @@
 
 void service_call::send()
 {
+    if (auto problem = routing_.quarantined()) {
+        give_up(*std::move(problem));
+        return;
+    }
     auto target = routing_.choose(attempt_);
     if (!target) {
         follow(routing_.after_no_choice());
@@ -250,6 +259,7 @@
         return;
     }
     ended_ = true;
+    node_.calls.remove(this);
     node_.figures.finished(routing_.request().service_class, outcome);
     retry_timer_.cancel();
     deadline_timer_.cancel();
@@ -260,6 +270,16 @@
     }
 }
 
+void service_call::abandon()
+{
+    ended_ = true;
+    on_outcome_ = nullptr;
+    retry_timer_.cancel();
+    deadline_timer_.cancel();
+    link_.reset();
+    caller_->abort();
+}
+
 void service_call::caller_left()
 {
     caller_gone_ = true;
--- a/src/libdaemon/src/service_call.hpp
+++ b/src/libdaemon/src/service_call.hpp
@@ -80,6 +80,7 @@
     void follow(next_step step);
     void give_up(api_error problem);
     void end(std::string const& outcome);
+    void abandon();
     void caller_left();
     void guard_deadline();
     void check_caller();
--- a/tests/libdaemon/fleet_path_test.cpp
+++ b/tests/libdaemon/fleet_path_test.cpp
@@ -190,4 +190,42 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(a_request_that_crashes_engines_is_refused_after_three)
+{
+    for (std::size_t i = 0; i < cluster.engines(); ++i) {
+        cluster.engine(i).set(
+            {.crash_marker = "poison",
+             .restart_after = std::chrono::milliseconds{300}});
+    }
+    auto const crashes = [&] {
+        std::uint64_t sum = 0;
+        for (std::size_t i = 0; i < cluster.engines(); ++i) {
+            sum += cluster.engine(i).crashes();
+        }
+        return sum;
+    };
+    std::vector<std::pair<std::string, answer_pointer>> innocent;
+    int refused = 0;
+    for (int round = 0; round < 10; ++round) {
+        auto const prompt = "fine " + std::to_string(round) + " #tokens=60";
+        innocent.emplace_back(
+            prompt, cluster.from().chat(cluster.port(round % 3), "moruga-key",
+                                        prompt, {}, false));
+        auto const culprit = cluster.from().chat(
+            cluster.port(round % 3), "coteau-key", "poison #tokens=60");
+        wait(culprit);
+        BOOST_TEST(!culprit->whole());
+        refused += culprit->status == 422 ? 1 : 0;
+        cluster.run_for(std::chrono::milliseconds{500});
+    }
+    BOOST_TEST(crashes() <= 3U);
+    BOOST_TEST(refused >= 7);
+    for (auto const& [prompt, got] : innocent) {
+        wait(got);
+        BOOST_TEST(got->status == 200);
+        BOOST_TEST(got->body.find(standins::expected_answer(prompt)) !=
+                   std::string::npos);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
