Take what daemons spread out of live_view

Change: membership_gossip keeps link reports and notices, what each link has still to be told, and who can be reached. Conclusion: no change in behaviour.

--- a/src/libmembership/include/medlarstall/membership/live_view.hpp
+++ b/src/libmembership/include/medlarstall/membership/live_view.hpp
@@ -2,16 +2,15 @@
 #define MEDLARSTALL_MEMBERSHIP_LIVE_VIEW_HPP
 
 #include <medlarstall/membership/flap_damping.hpp>
-#include <medlarstall/membership/gossip_table.hpp>
 #include <medlarstall/membership/heartbeat.hpp>
 #include <medlarstall/membership/instances.hpp>
+#include <medlarstall/membership/membership_gossip.hpp>
 #include <medlarstall/membership/neighbour_graph.hpp>
 #include <medlarstall/support/time.hpp>
 
 #include <chrono>
 #include <cstdint>
 #include <map>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -54,13 +53,6 @@
     kind what = kind::joined;
 };
 
-/// What was new in a heartbeat.
-struct heartbeat_news
-{
-    std::vector<leaving_notice> leaving;
-    std::vector<quarantine_notice> quarantine;
-};
-
 /// A heartbeat to send.
 struct outgoing_heartbeat
 {
@@ -151,7 +143,7 @@
     /// \return what is known of backend servers that leave
     [[nodiscard]] std::map<std::string, leaving_notice> const& leaving() const
     {
-        return leaving_.items();
+        return gossip_.leaving();
     }
 
 private:
@@ -187,7 +179,6 @@
     void forgive_own_pause(time_point now);
     void update_graph(time_point now);
     void update_own_report(time_point now);
-    std::set<std::string> reach() const;
     void update_members(time_point now, std::vector<membership_event>& events);
     void drop_unlisted(time_point now, std::vector<membership_event>& events);
     void add_probes(time_point now);
@@ -195,13 +186,8 @@
     void drop_idle_links(time_point now);
     [[nodiscard]] bool accepts(heartbeat const& message, link& one,
                                time_point now);
-    void merge_reports(heartbeat const& message);
-    heartbeat_news merge_notices(heartbeat const& message);
     void compare_reports(heartbeat const& message, link& one);
-    void reset_gossip(std::string const& daemon);
-    [[nodiscard]] bool has_news(std::string const& daemon) const;
     void update_gossip_links();
-    [[nodiscard]] std::uint64_t hash_reports() const;
     [[nodiscard]] heartbeat make_heartbeat(std::string const& to, link& one);
     void mark_urgent();
     link& link_to(std::string const& daemon, time_point now);
@@ -212,14 +198,11 @@
     std::map<std::string, member> members_;
     std::map<std::string, link> links_;
     neighbour_graph graph_;
-    gossip_table<link_report> reports_;
-    gossip_table<leaving_notice> leaving_;
-    gossip_table<quarantine_notice> quarantine_;
+    membership_gossip gossip_;
     flap_damping damping_;
     std::vector<membership_event> new_members_;
     std::uint64_t generation_ = 0;
     std::uint64_t report_version_ = 0;
-    std::uint64_t reports_hash_ = 0;
     time_point last_tick_;
     time_point last_probe_;
     std::size_t probe_index_ = 0;
--- a/src/libmembership/src/live_view.cpp
+++ b/src/libmembership/src/live_view.cpp
@@ -3,16 +3,12 @@
 #include <medlarstall/support/digest.hpp>
 
 #include <algorithm>
-#include <deque>
 #include <utility>
 
 namespace medlarstall::membership {
 
 namespace {
 
-/// Items of news in one heartbeat; the rest follows at the next tick.
-constexpr std::size_t most_news = 512;
-
 /// Heartbeats in a row that may show other reports than ours before the peer
 /// is told everything again; news take less time than that to arrive.
 constexpr unsigned most_mismatches = 4;
@@ -25,7 +21,8 @@
 live_view::live_view(live_view_settings settings, std::uint64_t incarnation,
                      time_point now)
     : settings_{std::move(settings)}, incarnation_{incarnation},
-      damping_{settings_.damping}, last_tick_{now}, last_probe_{now}
+      gossip_{settings_.daemon}, damping_{settings_.damping}, last_tick_{now},
+      last_probe_{now}
 {}
 
 void live_view::on_instances(std::vector<daemon_info> const& daemons,
@@ -81,8 +78,8 @@
     if (!accepts(message, one, now)) {
         return {};
     }
-    merge_reports(message);
-    auto news = merge_notices(message);
+    reach_stale_ = gossip_.merge_reports(message) || reach_stale_;
+    auto news = gossip_.merge_notices(message);
     compare_reports(message, one);
     one.last = message;
     one.last.reports.clear();
@@ -101,7 +98,7 @@
         one.incarnation = message.incarnation;
         one.heard_sequence = 0;
         one.echoed_sequence = 0;
-        reset_gossip(message.from);
+        gossip_.reset_link(message.from);
     }
     if (message.sequence <= one.heard_sequence) {
         return false;
@@ -116,63 +113,20 @@
     return true;
 }
 
-void live_view::merge_reports(heartbeat const& message)
-{
-    bool news = false;
-    for (auto const& report : message.reports) {
-        news = (report.reporter != settings_.daemon &&
-                reports_.merge(report, message.from)) ||
-               news;
-    }
-    if (news) {
-        reach_stale_ = true;
-        reports_hash_ = hash_reports();
-    }
-}
-
-heartbeat_news live_view::merge_notices(heartbeat const& message)
-{
-    heartbeat_news news;
-    for (auto const& notice : message.leaving) {
-        if (leaving_.merge(notice, message.from)) {
-            news.leaving.push_back(notice);
-        }
-    }
-    for (auto const& notice : message.quarantine) {
-        if (quarantine_.merge(notice, message.from)) {
-            news.quarantine.push_back(notice);
-        }
-    }
-    return news;
-}
-
 /// Tells a peer everything again that goes on knowing other reports.
 void live_view::compare_reports(heartbeat const& message, link& one)
 {
     one.mismatches =
-        message.reports_hash == reports_hash_ ? 0 : one.mismatches + 1;
+        message.reports_hash == gossip_.reports_hash() ? 0 : one.mismatches + 1;
     if (one.mismatches >= most_mismatches) {
         one.mismatches = 0;
-        reset_gossip(message.from);
+        gossip_.reset_link(message.from);
     }
 }
 
-void live_view::reset_gossip(std::string const& daemon)
-{
-    reports_.reset_link(daemon);
-    leaving_.reset_link(daemon);
-    quarantine_.reset_link(daemon);
-}
-
-bool live_view::has_news(std::string const& daemon) const
-{
-    return reports_.has_pending(daemon) || leaving_.has_pending(daemon) ||
-           quarantine_.has_pending(daemon);
-}
-
 void live_view::on_connection_lost(std::string const& daemon)
 {
-    reset_gossip(daemon);
+    gossip_.reset_link(daemon);
 }
 
 void live_view::set_local(local_state state)
@@ -185,25 +139,22 @@
 
 void live_view::tell(leaving_notice notice)
 {
-    leaving_.merge(std::move(notice), {});
+    gossip_.tell(std::move(notice));
 }
 
 void live_view::tell(quarantine_notice notice)
 {
-    quarantine_.merge(std::move(notice), {});
+    gossip_.tell(std::move(notice));
 }
 
 void live_view::forget_leaving(std::string const& backend_server)
 {
-    leaving_.erase_if([&](leaving_notice const& notice) {
-        return notice.backend_server == backend_server;
-    });
+    gossip_.forget_leaving(backend_server);
 }
 
 void live_view::forget_quarantine(std::string const& id)
 {
-    quarantine_.erase_if(
-        [&id](quarantine_notice const& notice) { return notice.id == id; });
+    gossip_.forget_quarantine(id);
 }
 
 void live_view::mark_urgent()
@@ -239,7 +190,7 @@
     update_members(now, actions.events);
     for (auto& [id, one] : links_) {
         bool const due = now - one.sent >= settings_.interval;
-        if (due || one.urgent || has_news(id)) {
+        if (due || one.urgent || gossip_.has_news(id)) {
             one.sent = now;
             one.urgent = false;
             actions.heartbeats.push_back({id, make_heartbeat(id, one)});
@@ -291,9 +242,7 @@
     for (auto const& [id, one] : links_) {
         ids.push_back(id);
     }
-    reports_.set_links(ids);
-    leaving_.set_links(ids);
-    quarantine_.set_links(ids);
+    gossip_.set_links(ids);
 }
 
 bool live_view::needs_links(time_point now) const
@@ -367,7 +316,7 @@
             report.extra.push_back(id);
         }
     }
-    auto const* last = reports_.find(settings_.daemon);
+    auto const* last = gossip_.own_report();
     bool const same =
         last != nullptr
             ? last->broken == report.broken && last->extra == report.extra
@@ -376,48 +325,17 @@
         return;
     }
     report.version = ++report_version_;
-    reports_.merge(std::move(report), {});
-    reports_hash_ = hash_reports();
+    gossip_.tell(std::move(report));
     reach_stale_ = true;
     mark_urgent();
 }
 
-/// Follows sound links from this daemon, as far as reports tell.
-std::set<std::string> live_view::reach() const
-{
-    std::set<std::string> reached{settings_.daemon};
-    std::deque<std::string> open{settings_.daemon};
-    while (!open.empty()) {
-        auto const here = std::move(open.front());
-        open.pop_front();
-        auto const* report = reports_.find(here);
-        auto visit = [&](std::string const& id) {
-            if (reached.insert(id).second) {
-                open.push_back(id);
-            }
-        };
-        for (auto const& id : graph_.neighbours(here)) {
-            bool const broken =
-                report != nullptr &&
-                std::ranges::find(report->broken, id) != report->broken.end();
-            if (!broken) {
-                visit(id);
-            }
-        }
-        for (std::size_t i = 0; report != nullptr && i < report->extra.size();
-             ++i) {
-            visit(report->extra[i]);
-        }
-    }
-    return reached;
-}
-
 void live_view::update_members(time_point now,
                                std::vector<membership_event>& events)
 {
     if (reach_stale_) {
         reach_stale_ = false;
-        auto const reached = reach();
+        auto const reached = gossip_.reach(graph_);
         for (auto& [id, one] : members_) {
             bool const before =
                 std::exchange(one.reached, reached.contains(id));
@@ -457,38 +375,22 @@
         return gone;
     });
     if (graph_stale_) {
-        reports_.erase_if([this](link_report const& report) {
-            return report.reporter != settings_.daemon &&
-                   !members_.contains(report.reporter);
-        });
-        reports_hash_ = hash_reports();
-    }
-}
-
-std::uint64_t live_view::hash_reports() const
-{
-    std::uint64_t sum = 0;
-    for (auto const& [id, report] : reports_.items()) {
-        if (!report.broken.empty() || !report.extra.empty()) {
-            sum += hash64(id, report.incarnation ^ report.version);
-        }
+        gossip_.forget_reporters(
+            [this](std::string const& id) { return !members_.contains(id); });
     }
-    return sum;
 }
 
 heartbeat live_view::make_heartbeat(std::string const& to, link& one)
 {
-    return {.from = settings_.daemon,
-            .incarnation = incarnation_,
-            .sequence = ++one.sequence,
-            .heard = one.heard_sequence,
-            .catalogue_offset = local_.catalogue_offset,
-            .catalogue_chain = local_.catalogue_chain,
-            .reports_hash = reports_hash_,
-            .wanted = one.ring || one.wanted,
-            .reports = reports_.take(to, most_news),
-            .leaving = leaving_.take(to, most_news),
-            .quarantine = quarantine_.take(to, most_news)};
+    heartbeat message{.from = settings_.daemon,
+                      .incarnation = incarnation_,
+                      .sequence = ++one.sequence,
+                      .heard = one.heard_sequence,
+                      .catalogue_offset = local_.catalogue_offset,
+                      .catalogue_chain = local_.catalogue_chain,
+                      .wanted = one.ring || one.wanted};
+    gossip_.fill(message, to);
+    return message;
 }
 
 bool live_view::is_live(std::string const& daemon) const
