--- a/src/libmembership/include/medlarstall/membership/live_view.hpp
+++ b/src/libmembership/include/medlarstall/membership/live_view.hpp
@@ -6,6 +6,7 @@
 #include <medlarstall/membership/instances.hpp>
 #include <medlarstall/membership/membership_gossip.hpp>
 #include <medlarstall/membership/neighbour_graph.hpp>
+#include <medlarstall/membership/peer_link.hpp>
 #include <medlarstall/support/time.hpp>
 
 #include <chrono>
@@ -147,23 +148,6 @@
     }
 
 private:
-    struct link
-    {
-        bool ring = false; ///< It belongs to the neighbour_graph.
-        time_point heard;  ///< Last heartbeat from the other end.
-        time_point echoed; ///< Last proof that the other end hears us.
-        time_point sent;   ///< Last heartbeat to the other end.
-        std::uint64_t sequence = 0;
-        std::uint64_t heard_sequence = 0;
-        std::uint64_t echoed_sequence = 0;
-        std::uint64_t incarnation = 0;
-        unsigned mismatches = 0; ///< Heartbeats in a row with other reports.
-        bool was_heard = false;
-        bool wanted = false; ///< It was looked for, as few others are sound.
-        bool urgent = false;
-        heartbeat last;
-    };
-
     struct member
     {
         daemon_info info;
@@ -174,8 +158,7 @@
         time_point unlisted_since;
     };
 
-    [[nodiscard]] bool sound(link const& one, time_point now) const;
-    [[nodiscard]] bool lively(link const& one, time_point now) const;
+    [[nodiscard]] bool sound(peer_link const& one, time_point now) const;
     void forgive_own_pause(time_point now);
     void update_graph(time_point now);
     void update_own_report(time_point now);
@@ -184,19 +167,18 @@
     void add_probes(time_point now);
     [[nodiscard]] bool needs_links(time_point now) const;
     void drop_idle_links(time_point now);
-    [[nodiscard]] bool accepts(heartbeat const& message, link& one,
-                               time_point now);
-    void compare_reports(heartbeat const& message, link& one);
+    void compare_reports(heartbeat const& message, peer_link& one);
     void update_gossip_links();
-    [[nodiscard]] heartbeat make_heartbeat(std::string const& to, link& one);
+    [[nodiscard]] heartbeat make_heartbeat(std::string const& to,
+                                           peer_link& one);
     void mark_urgent();
-    link& link_to(std::string const& daemon, time_point now);
+    peer_link& link_to(std::string const& daemon, time_point now);
 
     live_view_settings settings_;
     std::uint64_t incarnation_;
     local_state local_;
     std::map<std::string, member> members_;
-    std::map<std::string, link> links_;
+    std::map<std::string, peer_link> links_;
     neighbour_graph graph_;
     membership_gossip gossip_;
     flap_damping damping_;
--- a/src/libmembership/src/live_view.cpp
+++ b/src/libmembership/src/live_view.cpp
@@ -53,7 +53,7 @@
     }
 }
 
-live_view::link& live_view::link_to(std::string const& daemon, time_point now)
+peer_link& live_view::link_to(std::string const& daemon, time_point now)
 {
     auto const [place, fresh] = links_.try_emplace(daemon);
     if (fresh) {
@@ -75,46 +75,21 @@
         one.urgent = true;
         update_gossip_links();
     }
-    if (!accepts(message, one, now)) {
+    auto const kind = one.take(message, now);
+    if (kind == heartbeat_kind::outdated) {
         return {};
     }
+    if (kind == heartbeat_kind::restarted) {
+        gossip_.reset_link(message.from);
+    }
     reach_stale_ = gossip_.merge_reports(message) || reach_stale_;
     auto news = gossip_.merge_notices(message);
     compare_reports(message, one);
-    one.last = message;
-    one.last.reports.clear();
-    one.last.leaving.clear();
-    one.last.quarantine.clear();
     return news;
 }
 
-/// Notes what a heartbeat proves of a link, unless it is an old one.
-bool live_view::accepts(heartbeat const& message, link& one, time_point now)
-{
-    if (message.incarnation < one.incarnation) {
-        return false;
-    }
-    if (message.incarnation > one.incarnation) {
-        one.incarnation = message.incarnation;
-        one.heard_sequence = 0;
-        one.echoed_sequence = 0;
-        gossip_.reset_link(message.from);
-    }
-    if (message.sequence <= one.heard_sequence) {
-        return false;
-    }
-    one.heard_sequence = message.sequence;
-    one.heard = now;
-    one.was_heard = true;
-    if (message.heard > one.echoed_sequence) {
-        one.echoed_sequence = message.heard;
-        one.echoed = now;
-    }
-    return true;
-}
-
 /// Tells a peer everything again that goes on knowing other reports.
-void live_view::compare_reports(heartbeat const& message, link& one)
+void live_view::compare_reports(heartbeat const& message, peer_link& one)
 {
     one.mismatches =
         message.reports_hash == gossip_.reports_hash() ? 0 : one.mismatches + 1;
@@ -164,15 +139,10 @@
     }
 }
 
-bool live_view::lively(link const& one, time_point now) const
-{
-    return now - one.heard < settings_.timeout;
-}
-
-bool live_view::sound(link const& one, time_point now) const
+bool live_view::sound(peer_link const& one, time_point now) const
 {
     // An echo is older than a heartbeat by up to half an interval.
-    return lively(one, now) &&
+    return one.lively(settings_.timeout, now) &&
            now - one.echoed < settings_.timeout + settings_.interval / 2;
 }
 
@@ -298,7 +268,7 @@
     auto const erased = std::erase_if(links_, [&](auto const& item) {
         auto const& one = item.second;
         bool const needed = one.wanted || (one.was_heard && one.last.wanted);
-        return !one.ring && !(needed && lively(one, now));
+        return !one.ring && !(needed && one.lively(settings_.timeout, now));
     });
     if (erased > 0) {
         update_gossip_links();
@@ -380,7 +350,7 @@
     }
 }
 
-heartbeat live_view::make_heartbeat(std::string const& to, link& one)
+heartbeat live_view::make_heartbeat(std::string const& to, peer_link& one)
 {
     heartbeat message{.from = settings_.daemon,
                       .incarnation = incarnation_,
