--- a/src/libdaemon/include/medlarstall/daemon/daemon_settings.hpp
+++ b/src/libdaemon/include/medlarstall/daemon/daemon_settings.hpp
@@ -24,7 +24,7 @@
     std::string peer_secret;     ///< Shared by all daemons.
     bool standalone = false;     ///< Runs without a platform.
     std::string catalogue_text;  ///< JSON; the first catalogue if standalone.
-    std::vector<std::string> platform_urls; ///< Tried in this order.
+    std::vector<std::string> platform_addresses; ///< IP:PORT, tried in turn.
     /// SHA-256 of the key that may publish into an empty catalogue.
     std::string bootstrap_key_digest;
     std::size_t max_json_depth = 32;
