--- a/bench/policy/figures.cpp
+++ b/bench/policy/figures.cpp
@@ -127,6 +127,7 @@
     std::vector<counter> classes(class_names().size());
     std::array<double, attainment_names.size()> urgent{};
     counter service;
+    counter urgent_others;
     counter crest;
     double good = 0;
     double good_at_crest = 0;
@@ -153,6 +154,9 @@
         classes[request.service_class].add(ok);
         if (request.service_class == 0) {
             ++urgent[static_cast<std::size_t>(how)];
+            if (request.organisation != flooding_organisation) {
+                urgent_others.add(ok);
+            }
         }
         good += ok ? 1 : 0;
         if (at_crest(what, request.at)) {
@@ -192,6 +196,7 @@
         all[std::string{"urgent-"} + attainment_names[how]] =
             urgent[how] / std::max(1.0, classes[0].all);
     }
+    all["attainment-urgent-others"] = urgent_others.part();
     all["attainment-service"] = service.part();
     all["goodput"] = good / (run_length - warm_up).count();
     if (crest_seconds > 0) {
--- a/bench/policy/workload.hpp
+++ b/bench/policy/workload.hpp
@@ -64,6 +64,8 @@
     std::uint32_t output_tokens = 0;
 };
 
+/// Organisation that floods in the cases with a flood.
+inline constexpr std::size_t flooding_organisation = 0;
 inline constexpr seconds warm_up{5};
 inline constexpr seconds run_length{40};
 inline constexpr std::uint32_t document_tokens = 512;
