--- a/tests/librouting/quarantine_test.cpp
+++ b/tests/librouting/quarantine_test.cpp
@@ -122,13 +122,9 @@
     return {distinct.begin(), distinct.end()};
 }
 
-} // namespace
-
-BOOST_AUTO_TEST_SUITE(quarantine_suite)
-
-RC_BOOST_PROP(loses_at_most_three_servers_and_refuses_no_innocent, ())
+/// Sends requests again and again; records arrive before the next is sent.
+void check_losses(quarantine_fleet fleet)
 {
-    auto fleet = make_fleet();
     for (int step = 0; step < 40; ++step) {
         auto const owner =
             *rc::gen::inRange<std::size_t>(0, fleet.daemons.size());
@@ -143,6 +139,26 @@
     }
 }
 
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(quarantine_suite)
+
+RC_BOOST_PROP(loses_at_most_three_servers_and_refuses_no_innocent, ())
+{
+    check_losses(make_fleet());
+}
+
+// Known to fail (KNOWN-RED.txt): owners do not run suspects alone yet.
+BOOST_AUTO_TEST_CASE(loses_at_most_three_servers_without_running_alone,
+                     *boost::unit_test::disabled())
+{
+    BOOST_TEST(rc::check([] {
+        auto fleet = make_fleet();
+        fleet.runs_alone = false;
+        check_losses(std::move(fleet));
+    }));
+}
+
 RC_BOOST_PROP(refuses_no_innocent_however_late_records_come, ())
 {
     auto fleet = make_fleet();
