Keep the routing benchmark clean for the linter

Cause: unused loop variables and growing vectors. Change: KeepRunning() and reserved room. Conclusion: lint clean.

--- a/bench/routing/main.cpp
+++ b/bench/routing/main.cpp
@@ -63,11 +63,12 @@
     auto chooser = make_router(state.range(0) != 0);
     auto const request = make_request();
     std::vector<std::vector<prefix_hash>> prompts;
+    prompts.reserve(1000);
     for (int i = 0; i < 1000; ++i) {
         prompts.push_back(hash_prefixes(std::string(4096, char('a' + i % 26))));
     }
     std::int64_t now = 0;
-    for (auto _ : state) {
+    while (state.KeepRunning()) {
         auto const& prefixes = prompts[std::size_t(now) % prompts.size()];
         route_query const query{request, prefixes, 4096};
         auto const chosen = chooser.choose(query, at_us(now));
@@ -87,11 +88,12 @@
 {
     auto chooser = make_router(false);
     std::vector<scheduling::backend_server_summary> summaries;
+    summaries.reserve(fleet_size);
     for (int i = 0; i < fleet_size; ++i) {
         summaries.push_back(summary_of(i, false));
     }
     std::int64_t now = 0;
-    for (auto _ : state) {
+    while (state.KeepRunning()) {
         chooser.take_summary(summaries[std::size_t(now) % summaries.size()],
                              at_us(now));
         ++now;
@@ -106,7 +108,7 @@
     route_query const query{request};
     spill_policy const policy;
     std::uint64_t random = 1;
-    for (auto _ : state) {
+    while (state.KeepRunning()) {
         auto const next = policy.decide(chooser.view(), query, random++);
         benchmark::DoNotOptimize(next.action);
     }
@@ -117,12 +119,13 @@
 {
     health_monitor monitor;
     std::vector<std::string> ids;
+    ids.reserve(fleet_size);
     for (int i = 0; i < fleet_size; ++i) {
         ids.push_back(summary_of(i, false).backend_server);
         monitor.add(ids.back(), "engines");
     }
     std::int64_t now = 0;
-    for (auto _ : state) {
+    while (state.KeepRunning()) {
         monitor.record_token_gap(ids[std::size_t(now) % ids.size()],
                                  std::chrono::milliseconds{40}, at_us(now));
         ++now;
@@ -142,7 +145,7 @@
                                      at_us(1));
         }
     }
-    for (auto _ : state) {
+    while (state.KeepRunning()) {
         benchmark::DoNotOptimize(monitor.evaluate(at_us(2)).size());
     }
 }
