Send no probe to a backend server that leaves

Cause: a backend server that was being probed and then reported that it leaves stayed in the list of those due a probe. Found by a stateful test of the router against a plain table, after 83 runs of: summary, probing, summary with leaving, request.

--- a/src/librouting/src/fleet_view.cpp
+++ b/src/librouting/src/fleet_view.cpp
@@ -8,11 +8,27 @@
 
 namespace {
 
-bool usable(backend_server_view const& server)
+bool takes_any_work(backend_server_view const& server)
 {
     return server.known && server.owned && !server.leaving &&
-           !server.summary.leaving && server.health != health_state::ejected &&
-           server.health != health_state::probing;
+           !server.summary.leaving;
+}
+
+/// What a backend server may get.
+enum class share_of_work
+{
+    none,
+    probes,
+    all
+};
+
+share_of_work share_of(backend_server_view const& server)
+{
+    if (!takes_any_work(server) || server.health == health_state::ejected) {
+        return share_of_work::none;
+    }
+    return server.health == health_state::probing ? share_of_work::probes
+                                                  : share_of_work::all;
 }
 
 bool runs_model(backend_server_view const& server, std::string_view model)
@@ -59,7 +75,7 @@
     if (regrouped) {
         leave_group(number);
     }
-    bool const was_usable = usable(server);
+    auto const former = share_of(server);
     bool const joins = !server.known || regrouped;
     server.summary = summary;
     server.summary_at = now;
@@ -69,7 +85,7 @@
     if (joins) {
         join_group(number);
     }
-    if (joins || was_usable != usable(server)) {
+    if (joins || former != share_of(server)) {
         refresh(summary.group);
     }
     return number;
@@ -119,11 +135,15 @@
     view.usable.clear();
     view.probing.clear();
     for (auto const number : view.members) {
-        if (usable(servers_[number])) {
+        switch (share_of(servers_[number])) {
+        case share_of_work::all:
             view.usable.push_back(number);
-        } else if (servers_[number].health == health_state::probing &&
-                   takes_work(number)) {
+            break;
+        case share_of_work::probes:
             view.probing.push_back(number);
+            break;
+        case share_of_work::none:
+            break;
         }
     }
     refresh_models(view);
@@ -148,9 +168,7 @@
 
 bool fleet_view::takes_work(server_number number) const
 {
-    auto const& server = servers_[number];
-    return server.known && server.owned && !server.leaving &&
-           !server.summary.leaving;
+    return takes_any_work(servers_[number]);
 }
 
 void fleet_view::set_leaving(std::string_view backend_server, bool leaving)
