Let a daemon be destroyed with calls under way

Cause: destroying a daemon without drain() crashed the process in two ways that the fault runs found: the peer connections told streams of their end when the parts that listen were gone (fleet_view::lose_owner on a destroyed view), and RESTinio's connections outlived the server that counts them. Change: a peer connection that is destroyed closes without telling its streams; a front that is destroyed closes its acceptor and leaves the server to a service of the context, which frees it after the last connection. Tests of libpeer and libdaemon pass.

--- a/src/libentry/src/http_front.cpp
+++ b/src/libentry/src/http_front.cpp
@@ -116,6 +116,29 @@
             found == reasons.end() ? "Status" : found->second};
 }
 
+/// Keeps servers that are no longer used until their context has let go of
+/// the last connection, which the library expects of whoever owns a server.
+class server_keeper : public asio::execution_context::service
+{
+public:
+    using key_type = server_keeper;
+    static inline asio::execution_context::id id;
+
+    explicit server_keeper(asio::execution_context& context)
+        : asio::execution_context::service{context}
+    {}
+
+    void keep(std::unique_ptr<server> unused)
+    {
+        servers_.push_back(std::move(unused));
+    }
+
+private:
+    void shutdown() override {}
+
+    std::vector<std::unique_ptr<server>> servers_;
+};
+
 } // namespace
 
 struct http_front::implementation
@@ -251,6 +274,11 @@
 {
     *implementation_->alive_ = false;
     implementation_->alive_.reset();
+    if (auto& unused = implementation_->server_) {
+        unused->close_sync();
+        asio::use_service<server_keeper>(implementation_->io_)
+            .keep(std::move(unused));
+    }
 }
 
 result<std::uint16_t> http_front::listen()
--- a/src/libpeer/src/connection_core.cpp
+++ b/src/libpeer/src/connection_core.cpp
@@ -285,6 +285,17 @@
     close_streams(connected_ ? stream_end::lost : stream_end::refused);
 }
 
+void connection_core::abandon()
+{
+    auto const open = streams_;
+    for (auto const& [id, stream] : open) {
+        stream->on_message(nullptr);
+        stream->on_sent(nullptr);
+        stream->on_end(nullptr);
+    }
+    close();
+}
+
 void connection_core::close_streams(stream_end how)
 {
     auto const open = std::exchange(streams_, {});
--- a/src/libpeer/src/connection_core.hpp
+++ b/src/libpeer/src/connection_core.hpp
@@ -35,6 +35,9 @@
     void shut_down();
     void close();
 
+    /// Closes without telling the streams, whose owner is going away.
+    void abandon();
+
     [[nodiscard]] bool usable() const { return !closed_ && !leaving_; }
     [[nodiscard]] bool established() const { return established_; }
     [[nodiscard]] std::uint64_t bytes_sent() const { return bytes_sent_; }
--- a/src/libpeer/src/peer_connection.cpp
+++ b/src/libpeer/src/peer_connection.cpp
@@ -10,7 +10,7 @@
 
 peer_connection::~peer_connection()
 {
-    core_->close();
+    core_->abandon();
 }
 
 void peer_connection::connect(std::string const& address, std::uint16_t port)
