Run each daemon of a test cluster on its own context

Cause: a paused process and a crashed one could not be shown: all daemons ran on the context of the stand-ins, and a dropped daemon left connections open. Change: one context for each daemon, polled in turn by the one thread; pause_daemon() leaves one out; crash_daemon() drops its context and shuts the connections that its port had accepted, as the system does for a process that ended. The service's deadline is 4 s.

--- a/tests/cluster/include/medlarstall/tests/test_cluster.hpp
+++ b/tests/cluster/include/medlarstall/tests/test_cluster.hpp
@@ -21,6 +21,16 @@
 /// Key that publishes the first catalogue, and later an operator's key.
 inline constexpr char const* operator_key = "operator-key";
 
+/// Claim streams of every daemon.
+inline constexpr std::size_t claim_streams = 8;
+
+/// \param stream number of a claim stream
+/// \return name of its log
+[[nodiscard]] inline std::string claim_log(std::size_t stream)
+{
+    return "claims-" + std::to_string(stream);
+}
+
 /// How a cluster starts.
 struct cluster_settings
 {
@@ -32,11 +42,11 @@
     std::chrono::milliseconds directory_ttl{200};
 };
 
-/// Daemons, engines, plain services and the platform on one context that runs
-/// on one thread, with two organisations, "coteau" (key "coteau-key") and
-/// "moruga" (key "moruga-key"), and three classes, "field", "draft" and
-/// "notes", in tiers 0 to 2. The model is "drafts"; the service "shop-desk"
-/// may not be repeated but below /lookup.
+/// Daemons, each on a context of its own, and engines, plain services and the
+/// platform on another one, all run by one thread, with two organisations,
+/// "coteau" (key "coteau-key") and "moruga" (key "moruga-key"), and three
+/// classes, "field", "draft" and "notes", in tiers 0 to 2. The model is
+/// "drafts"; the service "shop-desk" may not be repeated but below /lookup.
 class test_cluster
 {
 public:
@@ -45,7 +55,7 @@
     test_cluster(test_cluster const&) = delete;
     test_cluster& operator=(test_cluster const&) = delete;
 
-    /// Runs the context until a condition holds or the time is up.
+    /// Runs every context until a condition holds or the time is up.
     /// \return true if the condition holds
     template<class Condition>
     [[nodiscard]] bool
@@ -57,12 +67,12 @@
             if (std::chrono::steady_clock::now() >= end) {
                 return false;
             }
-            io_.run_one_for(std::chrono::milliseconds{20});
+            run_some();
         }
         return true;
     }
 
-    /// Runs the context for some time.
+    /// Runs every context for some time.
     void run_for(std::chrono::milliseconds span);
 
     /// Publishes the catalogue and waits until every daemon routes.
@@ -81,9 +91,12 @@
     /// \return its number
     std::size_t add_daemon();
 
-    /// Drops a daemon without notice.
+    /// Drops a daemon without notice, with all of its connections.
     void crash_daemon(std::size_t number);
 
+    /// Stops the clock of a daemon, as a paused process has it, or goes on.
+    void pause_daemon(std::size_t number, bool paused);
+
     /// \return true if every daemon's router can place a chat request
     [[nodiscard]] bool routes(std::size_t number);
 
@@ -121,7 +134,18 @@
                                  std::string const& group, std::uint16_t port,
                                  std::size_t number);
 
+    /// Runs what is due, or waits for a moment.
+    void run_some();
+
+    /// Context of one daemon.
+    struct daemon_context
+    {
+        asio::io_context io{1};
+        bool paused = false;
+    };
+
     asio::io_context io_{1};
+    std::vector<std::unique_ptr<daemon_context>> contexts_;
     cluster_settings settings_;
     standins::platform_standin platform_;
     std::vector<std::unique_ptr<standins::engine_standin>> engines_;
--- a/tests/cluster/src/test_cluster.cpp
+++ b/tests/cluster/src/test_cluster.cpp
@@ -3,6 +3,9 @@
 #include <medlarstall/support/digest.hpp>
 #include <medlarstall/support/uuid.hpp>
 
+#include <netinet/in.h>
+#include <sys/socket.h>
+
 #include <array>
 #include <random>
 
@@ -15,6 +18,22 @@
 constexpr std::array data_centres{"regina-a", "saskatoon-b", "brandon-c",
                                   "lethbridge-d"};
 
+/// Shuts the connections that a port has accepted, as the system does for a
+/// process that ended. Those that open requests still hold would stay.
+void shut_connections(std::uint16_t port)
+{
+    constexpr int most_descriptors = 4'096;
+    for (int descriptor = 3; descriptor < most_descriptors; ++descriptor) {
+        sockaddr_in address{};
+        socklen_t size = sizeof(address);
+        auto* const any = reinterpret_cast<sockaddr*>(&address);
+        if (getsockname(descriptor, any, &size) == 0 &&
+            address.sin_family == AF_INET && ntohs(address.sin_port) == port) {
+            shutdown(descriptor, SHUT_RDWR);
+        }
+    }
+}
+
 json entry(json fields)
 {
     fields["owner"] = "consortium";
@@ -81,7 +100,10 @@
     made.directory_ttl = settings_.directory_ttl;
     made.drain_margin = std::chrono::milliseconds{100};
     made.seed = 1'000 + number;
-    daemons_.push_back(std::make_unique<daemon::daemon>(io_, std::move(made)));
+    made.claim_streams = claim_streams;
+    contexts_.push_back(std::make_unique<daemon_context>());
+    daemons_.push_back(std::make_unique<daemon::daemon>(contexts_.back()->io,
+                                                        std::move(made)));
     auto const started = daemons_.back()->start();
     ports_.push_back(failed(started) ? 0 : value_of(started).port);
     return number;
@@ -90,11 +112,35 @@
 void test_cluster::crash_daemon(std::size_t number)
 {
     daemons_.at(number).reset();
+    contexts_.at(number).reset();
+    shut_connections(ports_.at(number));
+}
+
+void test_cluster::pause_daemon(std::size_t number, bool paused)
+{
+    if (auto const& context = contexts_.at(number)) {
+        context->paused = paused;
+    }
 }
 
 void test_cluster::run_for(std::chrono::milliseconds span)
 {
-    io_.run_for(span);
+    static_cast<void>(run_until([] { return false; }, span));
+}
+
+void test_cluster::run_some()
+{
+    constexpr std::chrono::microseconds idle_wait{200};
+    auto work = io_.poll();
+    for (auto const& one : contexts_) {
+        if (one && !one->paused) {
+            one->io.restart();
+            work += one->io.poll();
+        }
+    }
+    if (work == 0) {
+        io_.run_one_for(idle_wait);
+    }
 }
 
 json test_cluster::catalogue() const
@@ -121,6 +167,7 @@
             {"services",
              {{"shop-desk", entry({{"group", "shop-desk"},
                                    {"repeatable", false},
+                                   {"deadline_ms", 4'000},
                                    {"operations",
                                     {{{"method", "*"},
                                       {"path_prefix", "/lookup"},
