--- a/tests/history/history.cpp
+++ b/tests/history/history.cpp
@@ -75,7 +75,8 @@
 {
     auto const known = value.told.has_value() ? value.finished : end;
     if (known > value.call.deadline + grace) {
-        found.push_back({"past_deadline", "call " + std::to_string(id)});
+        found.push_back({"past_deadline", "call " + std::to_string(id) +
+                                              ", key " + value.call.key});
     }
     if (value.told == verdict::run || value.told == verdict::cut) {
         check_answer(id, value, found);
