Carry load news with answers, and learn of leaving servers from any daemon

Cause: within the byte budget unasked summaries may be seconds old in a large fleet; a leaving backend server seen by one daemon could come back through a list that lags; models that are loaded and demotions did not reach the scheduler; a suspect could return to the server that it crashed. Change: the last event of each order carries the summary of its backend server; backend_server_states replaces the hand-written notice logic; load reports and health reach the scheduler; suspects avoid servers that crashed under them. Windows of shares are 5 s long, so that their bytes stay inside the tree's budget.

--- a/src/libdaemon/src/call_routing.cpp
+++ b/src/libdaemon/src/call_routing.cpp
@@ -60,6 +60,11 @@
     auto const level =
         node_.suspects.judge(fingerprint_, decision_clock::now());
     request_.isolated = level != suspicion::none;
+    if (request_.isolated) {
+        for (auto const& one : node_.suspects.crashed_under(fingerprint_)) {
+            exclude_backend_server(one);
+        }
+    }
     if (level != suspicion::refused) {
         return std::nullopt;
     }
--- a/src/libdaemon/src/fleet_service.cpp
+++ b/src/libdaemon/src/fleet_service.cpp
@@ -93,17 +93,15 @@
 void fleet_service::take_list(platform::instance_snapshot const& list)
 {
     std::vector<daemon_info> daemons{self_};
-    std::map<std::string, backend_server_info, std::less<>> servers;
+    listed_servers_.clear();
     for (auto const& one : list.instances) {
         if (one.kind == platform::instance_kind::backend_server) {
-            note_leaving(server_of(one));
-            servers.emplace(one.id, server_of(one));
+            listed_servers_.push_back(server_of(one));
         } else if (one.id != self_.id) {
             daemons.push_back(daemon_of(one));
         }
     }
-    stale_ = stale_ || servers != listed_servers_;
-    listed_servers_ = std::move(servers);
+    update_backend_servers();
     node_.known.listed_daemons.clear();
     for (auto const& one : daemons) {
         node_.known.listed_daemons.emplace(one.id, one);
@@ -111,30 +109,32 @@
     view_->on_instances(daemons, decision_clock::now());
 }
 
-void fleet_service::note_leaving(backend_server_info const& server)
+void fleet_service::update_backend_servers()
 {
-    // Only a change of the own reading is news; a list that lags must not
-    // bring a backend server back that another daemon saw leave.
-    auto const former = listed_servers_.find(server.id);
-    bool const was_leaving =
-        former != listed_servers_.end() && former->second.leaving;
-    if (server.leaving == was_leaving) {
-        return;
+    auto servers = listed_servers_;
+    if (node_.catalogue.ready()) {
+        for (auto const& [name, group] : node_.catalogue.entries->groups) {
+            for (auto const& one : group.value.backend_servers) {
+                servers.push_back({.id = one.id,
+                                   .group = name,
+                                   .address = one.address,
+                                   .port = one.port,
+                                   .data_centre = one.data_centre});
+            }
+        }
     }
-    auto const& notices = view_->leaving();
-    auto const known = notices.find(server.id);
-    if (known == notices.end()) {
-        view_->tell(membership::leaving_notice{server.id, 1, server.leaving});
-    } else if (known->second.leaving != server.leaving) {
-        view_->tell(membership::leaving_notice{
-            server.id, known->second.epoch + 1, server.leaving});
+    for (auto& notice : states_.on_list(servers, decision_clock::now())) {
+        view_->tell(std::move(notice));
+    }
+    for (auto const& id : states_.take_forgotten()) {
+        view_->forget_leaving(id);
     }
 }
 
 void fleet_service::catalogue_changed()
 {
-    stale_ = true;
     if (view_) {
+        update_backend_servers();
         recompute();
     }
 }
@@ -180,7 +180,8 @@
     for (auto const& one : actions.heartbeats) {
         send(one.to, {{"h", membership::to_json(one.message)}});
     }
-    if (view_->generation() != seen_generation_ || stale_) {
+    if (view_->generation() != seen_generation_ ||
+        states_.generation() != seen_servers_ || stale_) {
         recompute();
     }
     update_health(now);
@@ -230,7 +231,9 @@
     auto const& message = value_of(read);
     auto const now = decision_clock::now();
     auto const news = view_->on_heartbeat(message, now);
-    stale_ = stale_ || !news.leaving.empty();
+    for (auto const& notice : news.leaving) {
+        states_.on_notice(notice, now);
+    }
     for (auto const& notice : news.quarantine) {
         auto const record = routing::parse_quarantine_record(notice.record);
         if (failed(record)) {
@@ -265,23 +268,8 @@
         ++node_.figures.bad_messages;
         return;
     }
-    auto const now = decision_clock::now();
     for (auto const& one : message["s"]) {
-        auto read = parse_summary(one);
-        if (failed(read)) {
-            ++node_.figures.bad_messages;
-            return;
-        }
-        auto& summary = value_of(read);
-        auto const known =
-            node_.known.backend_servers.find(summary.backend_server);
-        if (known == node_.known.backend_servers.end()) {
-            continue;
-        }
-        summary.owner = message["from"];
-        summary.group = known->second.group;
-        summary.data_centre = known->second.data_centre;
-        node_.router.take_summary(summary, now);
+        node_.take_summary(message["from"], one);
     }
 }
 
@@ -307,24 +295,9 @@
 {
     auto const former = std::exchange(node_.known.backend_servers, {});
     auto& servers = node_.known.backend_servers;
-    servers = listed_servers_;
-    if (node_.catalogue.ready()) {
-        for (auto const& [name, group] : node_.catalogue.entries->groups) {
-            for (auto const& one : group.value.backend_servers) {
-                servers.emplace(one.id, backend_server_info{
-                                            .id = one.id,
-                                            .group = name,
-                                            .address = one.address,
-                                            .port = one.port,
-                                            .data_centre = one.data_centre});
-            }
-        }
-    }
-    for (auto const& [id, notice] : view_->leaving()) {
-        auto const found = servers.find(id);
-        if (found != servers.end() && notice.leaving) {
-            found->second.leaving = true;
-        }
+    seen_servers_ = states_.generation();
+    for (auto const& one : states_.servers()) {
+        servers.emplace(one.id, one);
     }
     for (auto const& [id, one] : servers) {
         node_.health.add(id, one.group);
@@ -395,6 +368,8 @@
     for (auto const& change : node_.health.evaluate(now)) {
         node_.router.set_health(change.backend_server, change.to,
                                 change.slowdown);
+        node_.owner->set_demoted(change.backend_server,
+                                 change.to != routing::health_state::healthy);
         log_line{severity::info, "health"}
             .with("backend_server", change.backend_server)
             .with("from", routing::name_of(change.from))
--- a/src/libdaemon/src/fleet_service.hpp
+++ b/src/libdaemon/src/fleet_service.hpp
@@ -4,6 +4,7 @@
 #include "control_links.hpp"
 #include "fleet.hpp"
 
+#include <medlarstall/membership/backend_server_states.hpp>
 #include <medlarstall/membership/live_view.hpp>
 #include <medlarstall/membership/subset.hpp>
 #include <medlarstall/platform/instance.hpp>
@@ -78,7 +79,7 @@
     void take_heartbeat(nlohmann::json const& value);
     void take_summaries(nlohmann::json const& message);
     void send_catalogue(std::string const& daemon, std::uint64_t offset);
-    void note_leaving(backend_server_info const& server);
+    void update_backend_servers();
     void recompute();
     void collect_backend_servers();
     void assign();
@@ -94,7 +95,9 @@
     std::function<void(std::string const&, nlohmann::json const&)> take_tree_;
     std::unique_ptr<membership::live_view> view_;
     daemon_info self_;
-    std::map<std::string, backend_server_info, std::less<>> listed_servers_;
+    membership::backend_server_states states_;
+    std::vector<backend_server_info> listed_servers_;
+    std::uint64_t seen_servers_ = 0;
     std::map<std::string, std::vector<std::string>> recipients_; ///< Servers
                                                                  ///< by entry.
     std::map<std::string, time_point> catalogue_sent_;
--- a/src/libdaemon/src/node.cpp
+++ b/src/libdaemon/src/node.cpp
@@ -1,5 +1,7 @@
 #include "node.hpp"
 
+#include "summary_codec.hpp"
+
 namespace medlarstall::daemon {
 
 namespace {
@@ -36,6 +38,24 @@
     return catalogue.in_force->keys.find(key);
 }
 
+void node::take_summary(std::string const& owner, nlohmann::json const& list)
+{
+    auto read = parse_summary(list);
+    if (failed(read)) {
+        ++figures.bad_messages;
+        return;
+    }
+    auto& summary = value_of(read);
+    auto const server = known.backend_servers.find(summary.backend_server);
+    if (server == known.backend_servers.end()) {
+        return;
+    }
+    summary.owner = owner;
+    summary.group = server->second.group;
+    summary.data_centre = server->second.data_centre;
+    router.take_summary(summary, decision_clock::now());
+}
+
 uuid node::new_uuid()
 {
     auto const now = std::chrono::time_point_cast<std::chrono::milliseconds>(
--- a/src/libdaemon/src/node.hpp
+++ b/src/libdaemon/src/node.hpp
@@ -41,6 +41,11 @@
     [[nodiscard]] catalogue::organisation const*
     find_organisation(std::string_view key) const;
 
+    /// Takes a summary that another daemon sent.
+    /// \param owner daemon that sent it
+    /// \param list the summary as summary_codec writes it
+    void take_summary(std::string const& owner, nlohmann::json const& list);
+
     asio::io_context& io;
     daemon_settings settings;
     std::mt19937_64 random;
--- a/src/libdaemon/src/order_link.cpp
+++ b/src/libdaemon/src/order_link.cpp
@@ -87,14 +87,17 @@
     state_->stream = stream;
     auto const link = state_;
     stream->on_message(
-        [link, &figures = node_.figures](peer::message const& content) {
+        [link, &shared = node_, owner](peer::message const& content) {
             auto event = parse_work_event(content);
             if (failed(event)) {
-                ++figures.bad_messages;
+                ++shared.figures.bad_messages;
                 log_line{severity::error, "bad_peer_message"}.with(
                     "message", error_of(event).message);
                 return;
             }
+            if (content.contains("summary")) {
+                shared.take_summary(owner, content["summary"]);
+            }
             deliver(link, std::move(value_of(event)));
         });
     stream->on_end([link](peer::stream_end how) { stream_ended(*link, how); });
--- a/src/libdaemon/src/order_server.cpp
+++ b/src/libdaemon/src/order_server.cpp
@@ -2,6 +2,7 @@
 
 #include "node.hpp"
 #include "owner_service.hpp"
+#include "summary_codec.hpp"
 
 #include <medlarstall/peer/peer_stream.hpp>
 #include <medlarstall/support/log.hpp>
@@ -10,12 +11,36 @@
 
 namespace {
 
+/// What is known of an order on its stream.
+struct order_state
+{
+    scheduling::request_id id = 0;
+    std::string server; ///< Preferred, then the one that runs it.
+};
+
+void add_summary(owner_service const& owner, std::string const& server,
+                 peer::message& message)
+{
+    if (auto const summary = owner.summary_of(server)) {
+        message["summary"] = to_json(*summary);
+    }
+}
+
 /// The sink of an order that came over a stream.
-event_sink sink_to(std::shared_ptr<peer::peer_stream> const& stream)
+event_sink sink_to(std::shared_ptr<peer::peer_stream> const& stream,
+                   owner_service const& owner,
+                   std::shared_ptr<order_state> const& asked)
 {
     event_sink sink;
-    sink.send = [stream](work_event const& event) {
-        stream->send(to_json(event));
+    sink.send = [stream, &owner, asked](work_event const& event) {
+        auto message = to_json(event);
+        if (is_last(event)) {
+            // News of the load travels with the answers that cause it.
+            add_summary(owner, asked->server, message);
+        } else if (auto const* sent = std::get_if<work_dispatched>(&event)) {
+            asked->server = sent->backend_server;
+        }
+        stream->send(message);
         if (is_last(event)) {
             stream->end();
         }
@@ -31,11 +56,11 @@
 
 void order_server::accept(std::shared_ptr<peer::peer_stream> const& stream)
 {
-    auto const id = std::make_shared<scheduling::request_id>(0);
-    stream->on_message([this, id, weak = std::weak_ptr{stream}](
+    auto const asked = std::make_shared<order_state>();
+    stream->on_message([this, asked, weak = std::weak_ptr{stream}](
                            peer::message const& content) {
         auto const open = weak.lock();
-        if (!open || *id != 0) {
+        if (!open || asked->id != 0) {
             return;
         }
         auto order = parse_work_order(content, decision_clock::now());
@@ -46,11 +71,13 @@
             open->reset();
             return;
         }
-        *id = node_.owner->submit(std::move(value_of(order)), sink_to(open));
+        asked->server = value_of(order).request.preferred_backend_server;
+        asked->id = node_.owner->submit(std::move(value_of(order)),
+                                        sink_to(open, *node_.owner, asked));
     });
-    stream->on_end([this, id](peer::stream_end how) {
+    stream->on_end([this, asked](peer::stream_end how) {
         if (how != peer::stream_end::complete && node_.owner != nullptr) {
-            node_.owner->abandon(*id);
+            node_.owner->abandon(asked->id);
         }
     });
 }
--- a/src/libdaemon/src/owner_service.cpp
+++ b/src/libdaemon/src/owner_service.cpp
@@ -172,12 +172,7 @@
             if (server.leaving) {
                 scheduler_.leave_backend_server(server.id, now, actions_);
             } else {
-                scheduler_.add_backend_server(
-                    {.id = server.id,
-                     .group = server.group,
-                     .data_centre = server.data_centre,
-                     .models = models_[server.id]},
-                    now, actions_);
+                describe(server);
             }
         }
         servers_[server.id] = server;
@@ -189,6 +184,47 @@
     apply();
 }
 
+void owner_service::describe(backend_server_info const& server)
+{
+    scheduler_.add_backend_server({.id = server.id,
+                                   .group = server.group,
+                                   .data_centre = server.data_centre,
+                                   .models = models_[server.id],
+                                   .demoted = demoted_.contains(server.id)},
+                                  decision_clock::now(), actions_);
+}
+
+void owner_service::set_demoted(std::string const& backend_server, bool demoted)
+{
+    if (demoted) {
+        demoted_.insert(backend_server);
+    } else {
+        demoted_.erase(backend_server);
+    }
+    auto const found = servers_.find(backend_server);
+    if (found != servers_.end() && !found->second.leaving) {
+        describe(found->second);
+        apply();
+    }
+}
+
+void owner_service::note_models(std::string const& backend_server,
+                                nlohmann::json const& report)
+{
+    auto const found = servers_.find(backend_server);
+    auto const listed = report.find("models");
+    if (found == servers_.end() || found->second.leaving ||
+        listed == report.end()) {
+        return;
+    }
+    auto const models = listed->get<std::vector<std::string>>();
+    auto& known = models_[backend_server];
+    if (known != models) {
+        known = models;
+        describe(found->second);
+    }
+}
+
 void owner_service::drain()
 {
     auto const released = scheduler_.drain(decision_clock::now(), actions_);
@@ -207,6 +243,17 @@
     return scheduler_.summaries(decision_clock::now());
 }
 
+std::optional<scheduling::backend_server_summary>
+owner_service::summary_of(std::string const& backend_server) const
+{
+    for (auto& one : summaries()) {
+        if (one.backend_server == backend_server) {
+            return one;
+        }
+    }
+    return std::nullopt;
+}
+
 std::vector<scheduling::organisation_usage> owner_service::usage() const
 {
     return scheduler_.usage();
@@ -352,6 +399,7 @@
             return;
         }
         try {
+            note_models(id, report);
             scheduler_.load_reported(
                 id,
                 {.running = report.value("running", 0U),
--- a/src/libdaemon/src/owner_service.hpp
+++ b/src/libdaemon/src/owner_service.hpp
@@ -10,11 +10,14 @@
 #include <medlarstall/scheduling/owner_scheduler.hpp>
 
 #include <asio/steady_timer.hpp>
+#include <nlohmann/json_fwd.hpp>
 
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -80,6 +83,11 @@
     /// \param owned all of them
     void set_backend_servers(std::vector<backend_server_info> const& owned);
 
+    /// Notes that a backend server is slow or failing against its siblings.
+    /// \param backend_server id; ignored if this daemon does not own it
+    /// \param demoted true while it should get less
+    void set_demoted(std::string const& backend_server, bool demoted);
+
     /// Refuses new orders and gives queued ones back.
     void drain();
 
@@ -87,6 +95,11 @@
     [[nodiscard]] std::vector<scheduling::backend_server_summary>
     summaries() const;
 
+    /// \param backend_server id of a backend server
+    /// \return its summary, or nothing if this daemon does not own it
+    [[nodiscard]] std::optional<scheduling::backend_server_summary>
+    summary_of(std::string const& backend_server) const;
+
     /// \return what each organisation got here
     [[nodiscard]] std::vector<scheduling::organisation_usage> usage() const;
 
@@ -114,6 +127,9 @@
     void perform(scheduling::hand_over const& action);
     void perform(scheduling::wake_up const& action);
     void forget(scheduling::request_id id);
+    void describe(backend_server_info const& server);
+    void note_models(std::string const& backend_server,
+                     nlohmann::json const& report);
     void poll_load();
     void poll_load(backend_server_info const& server);
     void check_readers();
@@ -132,6 +148,7 @@
     std::map<std::string, backend_server_info, std::less<>> servers_;
     std::map<std::string, catalogue::group_kind, std::less<>> group_kinds_;
     std::map<std::string, std::vector<std::string>, std::less<>> models_;
+    std::set<std::string, std::less<>> demoted_;
     routing::suspect_gate gate_;
     crash_handler on_crash_;
     suspicion_judge judge_;
--- a/src/libdaemon/src/service_call.cpp
+++ b/src/libdaemon/src/service_call.cpp
@@ -76,10 +76,11 @@
             return;
         }
         bool const sent = self->link_ != nullptr;
-        self->give_up({.status = 504,
-                       .code = "deadline",
-                       .message = "no answer came before the deadline",
-                       .run = sent ? run_state::unknown : run_state::not_run});
+        self->give_up(self->routing_.about_all_attempts(
+            {.status = 504,
+             .code = "deadline",
+             .message = "no answer came before the deadline",
+             .run = sent ? run_state::unknown : run_state::not_run}));
     });
 }
 
--- a/src/libdaemon/src/share_service.cpp
+++ b/src/libdaemon/src/share_service.cpp
@@ -30,7 +30,6 @@
     membership::tree_exchange_settings made;
     made.daemon = from.id;
     made.data_centre = from.data_centre;
-    made.interval = std::chrono::milliseconds{1'000};
     return made;
 }
 
--- a/src/libdaemon/src/share_service.hpp
+++ b/src/libdaemon/src/share_service.hpp
@@ -25,7 +25,7 @@
 {
 public:
     /// Length of the windows in which shares are counted.
-    static constexpr std::chrono::seconds window{2};
+    static constexpr std::chrono::seconds window{5};
 
     using sender = std::function<void(std::string const& daemon,
                                       nlohmann::json const& message)>;
