Write sizes and ignored results as the linter wants them

Change: sizes start from std::size_t; the ignored results are cast to void. Conclusion: no change of behaviour.

--- a/src/libpeer/src/connection_core.cpp
+++ b/src/libpeer/src/connection_core.cpp
@@ -15,7 +15,7 @@
 constexpr std::int32_t connection_window_bytes = 16 * 1024 * 1024;
 constexpr std::uint32_t stream_window_bytes = 256 * 1024;
 constexpr std::uint32_t max_streams = 100'000;
-constexpr std::size_t write_batch_bytes = 128 * 1024;
+constexpr std::size_t write_batch_bytes = std::size_t{128} * 1024;
 
 nghttp2_nv field(std::string_view name, std::string_view value)
 {
@@ -86,12 +86,13 @@
 void connection_core::set_socket_options()
 {
     asio::error_code ignored;
-    socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+    static_cast<void>(
+        socket_.set_option(asio::ip::tcp::no_delay(true), ignored));
     using user_timeout =
         asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
-    socket_.set_option(
+    static_cast<void>(socket_.set_option(
         user_timeout(static_cast<int>(settings_.silence_timeout.count())),
-        ignored);
+        ignored));
 }
 
 void connection_core::start_session(bool server)
@@ -281,7 +282,7 @@
     closed_ = true;
     timer_.cancel();
     asio::error_code ignored;
-    socket_.close(ignored);
+    static_cast<void>(socket_.close(ignored));
     close_streams(connected_ ? stream_end::lost : stream_end::refused);
 }
 
--- a/src/libpeer/src/connection_core.hpp
+++ b/src/libpeer/src/connection_core.hpp
@@ -82,7 +82,7 @@
     stream_handler on_stream_;
     std::unordered_map<std::int32_t, std::shared_ptr<peer_stream>> streams_;
     std::unordered_map<std::int32_t, incoming_head> heads_;
-    std::array<std::uint8_t, 64 * 1024> input_{};
+    std::array<std::uint8_t, std::size_t{64} * 1024> input_{};
     std::string output_;
     time_point last_heard_;
     std::uint64_t bytes_sent_ = 0;
