Assign ignored results of socket calls

Cause: the linter does not take a cast to void for a result that is ignored. Change: the result is assigned to the error code that is ignored. Conclusion: no change of behaviour.

--- a/src/libpeer/src/connection_core.cpp
+++ b/src/libpeer/src/connection_core.cpp
@@ -86,13 +86,12 @@
 void connection_core::set_socket_options()
 {
     asio::error_code ignored;
-    static_cast<void>(
-        socket_.set_option(asio::ip::tcp::no_delay(true), ignored));
+    ignored = socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
     using user_timeout =
         asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
-    static_cast<void>(socket_.set_option(
+    ignored = socket_.set_option(
         user_timeout(static_cast<int>(settings_.silence_timeout.count())),
-        ignored));
+        ignored);
 }
 
 void connection_core::start_session(bool server)
@@ -282,7 +281,7 @@
     closed_ = true;
     timer_.cancel();
     asio::error_code ignored;
-    static_cast<void>(socket_.close(ignored));
+    ignored = socket_.close(ignored);
     close_streams(connected_ ? stream_end::lost : stream_end::refused);
 }
 
