--- a/src/libentry/include/medlarstall/entry/http_front.hpp
+++ b/src/libentry/include/medlarstall/entry/http_front.hpp
@@ -24,9 +24,9 @@
     std::string address = "127.0.0.1";
     std::uint16_t port = 0; ///< 0 picks a free port.
     std::size_t max_connections = 20'000;
-    std::size_t max_field_bytes = 16 * 1024; ///< One header field.
+    std::size_t max_field_bytes = std::size_t{16} * 1024; ///< One header field.
     std::size_t max_fields = 64;
-    std::size_t max_target_bytes = 8 * 1024;
+    std::size_t max_target_bytes = std::size_t{8} * 1024;
     std::size_t max_body_bytes = std::size_t{4} * 1024 * 1024;
     std::chrono::milliseconds request_read_timeout{15'000};
     std::chrono::milliseconds write_timeout{30'000};
--- a/tests/libdaemon/standalone_fixture.hpp
+++ b/tests/libdaemon/standalone_fixture.hpp
@@ -77,7 +77,7 @@
         made.standalone = true;
         made.seed = 7;
         made.catalogue_text = catalogue().dump();
-        made.front.max_body_bytes = 64 * 1024;
+        made.front.max_body_bytes = std::size_t{64} * 1024;
         return made;
     }
 
