Print the urgent demand at crests beside its attainment

Cause: the reason why "all" misses its targets must be a figure, not a guess. Change: crest-demand-urgent, the engine time that urgent requests need at crests over what all engines have.

--- a/bench/policy/fake_engine.hpp
+++ b/bench/policy/fake_engine.hpp
@@ -22,15 +22,14 @@
     std::size_t cached_documents = 16;
 
     /// \param streams streams that run at once
-    /// \param uncached mean prompt tokens to prefill
-    /// \param output mean output tokens
-    /// \return requests a second that one engine sustains
-    [[nodiscard]] double rate(double streams, double uncached,
-                              double output) const
+    /// \param uncached prompt tokens to prefill
+    /// \param output output tokens
+    /// \return milliseconds of one engine that a request takes
+    [[nodiscard]] double engine_ms(double streams, double uncached,
+                                   double output) const
     {
-        double const decode =
-            output * (step_ms + step_ms_per_stream * streams) / streams;
-        return 1000 / (decode + uncached * prefill_ms_per_token);
+        double const token_ms = step_ms / streams + step_ms_per_stream;
+        return output * token_ms + uncached * prefill_ms_per_token;
     }
 };
 
--- a/bench/policy/figures.cpp
+++ b/bench/policy/figures.cpp
@@ -131,6 +131,7 @@
     counter crest;
     double good = 0;
     double good_at_crest = 0;
+    double urgent_at_crest = 0;
     double crest_seconds = 0;
     std::vector<double> first_tokens;
     std::vector<double> short_ends;
@@ -163,6 +164,7 @@
             good_at_crest += ok ? 1 : 0;
             if (request.service_class == 0) {
                 crest.add(ok);
+                urgent_at_crest += engine_seconds(place, request);
             }
         }
         auto const due = tokens_due(request, c);
@@ -201,6 +203,9 @@
     all["goodput"] = good / (run_length - warm_up).count();
     if (crest_seconds > 0) {
         all["crest-attainment-urgent"] = crest.part();
+        all["crest-demand-urgent"] =
+            urgent_at_crest /
+            (crest_seconds * static_cast<double>(place.engines));
         all["crest-goodput"] = good_at_crest / crest_seconds;
     }
     all["wasted-work"] = work > 0 ? wasted / work : 0;
--- a/bench/policy/workload.cpp
+++ b/bench/policy/workload.cpp
@@ -177,8 +177,17 @@
 double capacity(site const& place)
 {
     double const uncached = mean_question + 0.5 * document_tokens;
-    return static_cast<double>(place.engines) *
-           place.engine.rate(batch_streams, uncached, mean_output);
+    return 1000 * static_cast<double>(place.engines) /
+           place.engine.engine_ms(batch_streams, uncached, mean_output);
+}
+
+double engine_seconds(site const& place, arrival const& request)
+{
+    double const uncached =
+        request.prompt_tokens - 0.5 * request.document_tokens;
+    return place.engine.engine_ms(batch_streams, uncached,
+                                  request.output_tokens) /
+           1000;
 }
 
 bool at_crest(scenario const& what, duration at)
--- a/bench/policy/workload.hpp
+++ b/bench/policy/workload.hpp
@@ -97,6 +97,12 @@
 /// \return requests a second that all engines sustain within the targets
 [[nodiscard]] double capacity(site const& place);
 
+/// \param place installation
+/// \param request a request to the engines
+/// \return seconds of one engine that it takes if half of the documents are
+///     cached
+[[nodiscard]] double engine_seconds(site const& place, arrival const& request);
+
 /// \param what case
 /// \param at time from the start of the run
 /// \return true at the crest of a swing or within a burst
