Read the life cycles from state charts and interpret them

Change: libchart reads flat charts in a subset of SCXML, checks them against the enumerations of the code, and runs them by index, without allocation at an event.

Nothing fires the charts yet: the daemon and claim_engine still keep their states in their own code.

--- /dev/null
+++ b/src/libchart/include/medlarstall/chart/backend_server_chart.hpp
@@ -0,0 +1,58 @@
+#ifndef MEDLARSTALL_CHART_BACKEND_SERVER_CHART_HPP
+#define MEDLARSTALL_CHART_BACKEND_SERVER_CHART_HPP
+
+#include <medlarstall/chart/chart_binding.hpp>
+
+#include <array>
+#include <cstdint>
+#include <string_view>
+
+namespace medlarstall::chart {
+
+/// Where it stands; see charts/backend_server.scxml.
+enum class backend_server_state : std::uint8_t
+{
+    live,
+    leaving,
+    gone
+};
+
+/// What can happen to it; see charts/backend_server.scxml.
+enum class backend_server_event : std::uint8_t
+{
+    leave_seen,
+    lost,
+    emptied
+};
+
+/// What a transition asks of its owner; see charts/backend_server.scxml.
+enum class backend_server_action : std::uint8_t
+{
+    stop_new_work,
+    end_attempts
+};
+
+template<>
+inline constexpr std::array chart_names<backend_server_state> =
+    std::to_array<std::string_view>({"live", "leaving", "gone"});
+
+template<>
+inline constexpr std::array chart_names<backend_server_event> =
+    std::to_array<std::string_view>({"leave_seen", "lost", "emptied"});
+
+template<>
+inline constexpr std::array chart_names<backend_server_action> =
+    std::to_array<std::string_view>({"stop_new_work", "end_attempts"});
+
+/// The life of one backend server as its owner sees it.
+using backend_server_chart =
+    chart_binding<backend_server_state, backend_server_event,
+                  backend_server_action>;
+
+/// Reads the chart built into the program, once.
+/// \return the chart, shared by all threads, or the fault in its file
+[[nodiscard]] result<backend_server_chart> const& shared_backend_server_chart();
+
+} // namespace medlarstall::chart
+
+#endif
--- /dev/null
+++ b/src/libchart/include/medlarstall/chart/claim_chart.hpp
@@ -0,0 +1,75 @@
+#ifndef MEDLARSTALL_CHART_CLAIM_CHART_HPP
+#define MEDLARSTALL_CHART_CLAIM_CHART_HPP
+
+#include <medlarstall/chart/chart_binding.hpp>
+
+#include <array>
+#include <cstdint>
+#include <string_view>
+
+namespace medlarstall::chart {
+
+/// Where it stands; see charts/claim.scxml.
+enum class claim_state : std::uint8_t
+{
+    claiming,
+    abandoned,
+    offered,
+    dispatched,
+    releasing,
+    finishing,
+    settled
+};
+
+/// What can happen to it; see charts/claim.scxml.
+enum class claim_event : std::uint8_t
+{
+    won,
+    won_unwanted,
+    lost,
+    abandoned,
+    stream_restarted,
+    dropped,
+    dispatched,
+    not_dispatched,
+    finished,
+    withdrawn,
+    read_back
+};
+
+/// What a transition asks of its owner; see charts/claim.scxml.
+enum class claim_action : std::uint8_t
+{
+    offer_dispatch,
+    append_release,
+    append_outcome
+};
+
+template<>
+inline constexpr std::array chart_names<claim_state> =
+    std::to_array<std::string_view>({"claiming", "abandoned", "offered",
+                                     "dispatched", "releasing", "finishing",
+                                     "settled"});
+
+template<>
+inline constexpr std::array chart_names<claim_event> =
+    std::to_array<std::string_view>({"won", "won_unwanted", "lost", "abandoned",
+                                     "stream_restarted", "dropped",
+                                     "dispatched", "not_dispatched", "finished",
+                                     "withdrawn", "read_back"});
+
+template<>
+inline constexpr std::array chart_names<claim_action> =
+    std::to_array<std::string_view>(
+        {"offer_dispatch", "append_release", "append_outcome"});
+
+/// The life of one claim attempt at the daemon that wrote it.
+using claim_chart = chart_binding<claim_state, claim_event, claim_action>;
+
+/// Reads the chart built into the program, once.
+/// \return the chart, shared by all threads, or the fault in its file
+[[nodiscard]] result<claim_chart> const& shared_claim_chart();
+
+} // namespace medlarstall::chart
+
+#endif
--- /dev/null
+++ b/src/libchart/include/medlarstall/chart/request_chart.hpp
@@ -0,0 +1,84 @@
+#ifndef MEDLARSTALL_CHART_REQUEST_CHART_HPP
+#define MEDLARSTALL_CHART_REQUEST_CHART_HPP
+
+#include <medlarstall/chart/chart_binding.hpp>
+
+#include <array>
+#include <cstdint>
+#include <string_view>
+
+namespace medlarstall::chart {
+
+/// Where it stands; see charts/request.scxml.
+enum class request_state : std::uint8_t
+{
+    received,
+    queued,
+    dispatched,
+    streaming,
+    suspended,
+    finished,
+    refused,
+    failed,
+    cancelled
+};
+
+/// What can happen to it; see charts/request.scxml.
+enum class request_event : std::uint8_t
+{
+    admitted,
+    dispatched,
+    first_token,
+    preempted,
+    resumed,
+    finished,
+    refused,
+    failed,
+    caller_left,
+    bounced
+};
+
+/// What a transition asks of its owner; see charts/request.scxml.
+enum class request_action : std::uint8_t
+{
+    enqueue,
+    answer_not_run,
+    start_attempt,
+    leave_queue,
+    suspend_attempt,
+    answer_end,
+    answer_failure,
+    cancel_attempt,
+    resume_attempt
+};
+
+template<>
+inline constexpr std::array chart_names<request_state> =
+    std::to_array<std::string_view>({"received", "queued", "dispatched",
+                                     "streaming", "suspended", "finished",
+                                     "refused", "failed", "cancelled"});
+
+template<>
+inline constexpr std::array chart_names<request_event> =
+    std::to_array<std::string_view>(
+        {"admitted", "dispatched", "first_token", "preempted", "resumed",
+         "finished", "refused", "failed", "caller_left", "bounced"});
+
+template<>
+inline constexpr std::array chart_names<request_action> =
+    std::to_array<std::string_view>(
+        {"enqueue", "answer_not_run", "start_attempt", "leave_queue",
+         "suspend_attempt", "answer_end", "answer_failure", "cancel_attempt",
+         "resume_attempt"});
+
+/// The life of one request at the daemon that answers its caller.
+using request_chart =
+    chart_binding<request_state, request_event, request_action>;
+
+/// Reads the chart built into the program, once.
+/// \return the chart, shared by all threads, or the fault in its file
+[[nodiscard]] result<request_chart> const& shared_request_chart();
+
+} // namespace medlarstall::chart
+
+#endif
