Let state charts decide the life of orders and of the daemon

Cause: whether an order may still be reported as not run, and which step of a graceful stop comes next, were conditions spread over the code. Change: each order at its owner and each daemon follows its chart under charts/; "refused" after an attempt has started is not in the chart, so such an order counts as failed. A fault in a chart stops the program at its start with file and element.

--- a/src/libdaemon/include/medlarstall/daemon/daemon.hpp
+++ b/src/libdaemon/include/medlarstall/daemon/daemon.hpp
@@ -21,6 +21,11 @@
     std::uint16_t peer_port = 0; ///< For other daemons.
 };
 
+/// Reads the state charts that the daemon interprets. Call it before the first
+/// daemon is made.
+/// \return the first fault in a chart, with its file and element
+[[nodiscard]] status check_charts();
+
 /// A whole daemon on an Asio context that runs on a single thread. Many can
 /// be made in one process. Destroying one without drain() is like a crash.
 class daemon
--- a/src/libdaemon/src/daemon.cpp
+++ b/src/libdaemon/src/daemon.cpp
@@ -4,6 +4,16 @@
 
 namespace medlarstall::daemon {
 
+status check_charts()
+{
+    auto const& request = chart::shared_request_chart();
+    if (failed(request)) {
+        return error_of(request);
+    }
+    auto const& life = chart::shared_daemon_chart();
+    return failed(life) ? status{error_of(life)} : success();
+}
+
 daemon::daemon(asio::io_context& io, daemon_settings settings)
     : implementation_{std::make_shared<implementation>(io, std::move(settings))}
 {}
--- a/src/libdaemon/src/daemon_implementation.cpp
+++ b/src/libdaemon/src/daemon_implementation.cpp
@@ -41,6 +41,7 @@
                  [this] {
                      owner_.set_catalogue(*node_.catalogue.entries);
                      fleet_.catalogue_changed();
+                     fire(chart::daemon_event::catalogue_ready);
                  }},
       fleet_{node_, catalogue_,
              [this] {
@@ -71,7 +72,7 @@
                    [this](auto const& stream) {
                        accept(stream);
                    }},
-      drain_timer_{io}
+      drain_timer_{io}, life_{value_of(chart::shared_daemon_chart()).start()}
 {
     node_.owner = &owner_;
     node_.tell_suspects = [this](auto const& record) {
@@ -121,7 +122,7 @@
         caller->respond({.status = 200, .body = "ok\n"});
     });
     api_.add("GET", "/readyz", [this](auto const& caller) {
-        bool const ready = node_.catalogue.ready() && !node_.draining;
+        bool const ready = life_.state() == chart::daemon_state::serving;
         caller->respond({.status = ready ? 200 : 503,
                          .body = ready ? "ready\n" : "not ready\n"});
     });
@@ -253,8 +254,46 @@
     }
     drain_until_ = now + node_.settings.drain_bound;
     log_line{severity::info, "drain"}.with("daemon", node_.settings.id);
-    stop_listing();
-    wait_until_drained();
+    fire(chart::daemon_event::drain);
+    if (!life_.is_final()) {
+        wait_until_drained();
+    }
+}
+
+void daemon::implementation::fire(chart::daemon_event event)
+{
+    auto const actions = life_.fire(event);
+    if (!actions) {
+        return;
+    }
+    log_line{severity::info, "life_cycle"}
+        .with("daemon", node_.settings.id)
+        .with("state", chart::name_of(life_.state()));
+    for (auto const action : *actions) {
+        perform(action);
+    }
+}
+
+void daemon::implementation::perform(chart::daemon_action action)
+{
+    using chart::daemon_action;
+    switch (action) {
+    case daemon_action::become_ready:
+        return; // GET /readyz reads the state.
+    case daemon_action::leave_listing:
+        stop_listing();
+        return;
+    case daemon_action::hand_over_ownership:
+        owner_.drain();
+        peer_server_.shut_down();
+        return;
+    case daemon_action::report_cut_off:
+        cut_off_ = !idle();
+        return;
+    case daemon_action::stop:
+        finish_drain(!cut_off_);
+        return;
+    }
 }
 
 void daemon::implementation::stop_listing()
@@ -265,20 +304,25 @@
     fleet_.leave();
 }
 
+bool daemon::implementation::idle() const
+{
+    return front_.open_exchanges() == 0 && owner_.open_orders() == 0 &&
+           claims_.figures().attempts == 0;
+}
+
 void daemon::implementation::wait_until_drained()
 {
+    using chart::daemon_event;
     auto const now = decision_clock::now();
-    bool const unlisted = now >= serve_until_;
-    if (unlisted && !handed_over_) {
-        handed_over_ = true;
-        owner_.drain();
-        peer_server_.shut_down();
+    if (now >= serve_until_ && life_.state() == chart::daemon_state::leaving) {
+        fire(daemon_event::unlisted);
+    }
+    if (now >= drain_until_) {
+        fire(daemon_event::bound_passed);
+    } else if (life_.state() == chart::daemon_state::handing_over && idle()) {
+        fire(daemon_event::idle);
     }
-    bool const idle = front_.open_exchanges() == 0 &&
-                      owner_.open_orders() == 0 &&
-                      claims_.figures().attempts == 0;
-    if ((unlisted && idle) || now >= drain_until_) {
-        finish_drain(idle);
+    if (life_.is_final()) {
         return;
     }
     drain_timer_.expires_after(drain_check_interval);
--- a/src/libdaemon/src/daemon_implementation.hpp
+++ b/src/libdaemon/src/daemon_implementation.hpp
@@ -15,6 +15,7 @@
 #include "peer_queries.hpp"
 #include "share_service.hpp"
 
+#include <medlarstall/chart/daemon_chart.hpp>
 #include <medlarstall/daemon/daemon.hpp>
 #include <medlarstall/peer/peer_server.hpp>
 
@@ -46,8 +47,11 @@
     void handle(std::shared_ptr<entry::exchange> caller);
     void accept(std::shared_ptr<peer::peer_stream> const& stream);
     [[nodiscard]] platform::instance self_instance() const;
+    void fire(chart::daemon_event event);
+    void perform(chart::daemon_action action);
     void stop_listing();
     void wait_until_drained();
+    [[nodiscard]] bool idle() const;
     void finish_drain(bool clean);
 
     node node_;
@@ -70,7 +74,8 @@
     asio::steady_timer drain_timer_;
     time_point serve_until_; ///< Callers may still have the address till then.
     time_point drain_until_;
-    bool handed_over_ = false;
+    chart::daemon_chart::machine life_;
+    bool cut_off_ = false;
     std::function<void(bool)> on_drained_;
     std::function<void(bool)> when_drained_ = [](bool) {
     };
--- a/src/libdaemon/src/owned_order.cpp
+++ b/src/libdaemon/src/owned_order.cpp
@@ -52,10 +52,35 @@
 
 } // namespace
 
-owned_order::owned_order(owner_service& owner, work_order order,
+owned_order::owned_order(owner_service& owner,
+                         chart::request_chart const& chart, work_order order,
                          event_sink sink)
-    : owner_{owner}, order_{std::move(order)}, sink_{std::move(sink)}
-{}
+    : owner_{owner}, life_{chart.start()}, order_{std::move(order)},
+      sink_{std::move(sink)}
+{
+    advance(chart::request_event::admitted);
+}
+
+bool owned_order::advance(chart::request_event event)
+{
+    if (life_.fire(event)) {
+        return true;
+    }
+    log_line{severity::error, "unexpected_event"}
+        .with("attempt", order_.attempt)
+        .with("state", chart::name_of(life_.state()))
+        .with("request_event", chart::name_of(event));
+    return false;
+}
+
+void owned_order::refuse(work_refused event)
+{
+    if (advance(chart::request_event::refused)) {
+        emit(std::move(event));
+    } else {
+        emit(work_failed{event.code, event.message, false, false});
+    }
+}
 
 owned_order::~owned_order()
 {
@@ -92,6 +117,8 @@
 void owned_order::dispatch(scheduling::dispatch const& action,
                            backend_server_info const& server)
 {
+    advance(kept_at_ ? chart::request_event::resumed
+                     : chart::request_event::dispatched);
     server_ = server;
     dispatched_at_ = decision_clock::now();
     log_dispatch(action);
@@ -168,6 +195,7 @@
         auto const now = decision_clock::now();
         if (!first_seen_) {
             first_seen_ = true;
+            advance(chart::request_event::first_token);
             owner_.scheduler_.first_token(id(), now, owner_.actions_);
         }
         owner_.scheduler_.tokens(id(), count, now, owner_.actions_);
@@ -193,6 +221,7 @@
 {
     if (failure.code == "engine_busy" && !kept_at_) {
         stream_.reset();
+        advance(chart::request_event::bounced);
         owner_.scheduler_.bounced(id(), decision_clock::now(), owner_.actions_);
         owner_.apply();
         return;
@@ -255,6 +284,7 @@
         return;
     }
     first_seen_ = true;
+    advance(chart::request_event::first_token);
     owner_.scheduler_.first_token(id(), decision_clock::now(), owner_.actions_);
     emit(work_head{head.status, head.fields});
     owner_.apply();
@@ -308,7 +338,15 @@
         owner_.scheduler_.failed(id(), now, owner_.actions_);
     }
     owner_.forget(id());
-    emit(std::move(event));
+    if (auto* refused = std::get_if<work_refused>(&event)) {
+        // The backend server promised that the attempt did nothing.
+        advance(chart::request_event::bounced);
+        refuse(std::move(*refused));
+    } else {
+        advance(succeeded ? chart::request_event::finished
+                          : chart::request_event::failed);
+        emit(std::move(event));
+    }
     owner_.apply();
 }
 
@@ -318,14 +356,17 @@
     if (!stream) {
         return;
     }
+    advance(chart::request_event::preempted);
     ++owner_.metrics_.preemptions;
     auto kept = [weak = weak_from_this()](bool succeeded) {
         auto const self = weak.lock();
         if (!self || self->ended_) {
             return;
         }
-        if (succeeded) {
-            self->kept_at_ = self->server_;
+        self->kept_at_ = self->server_;
+        if (!succeeded) {
+            log_line{severity::warning, "suspend_failed"}.with(
+                "attempt", self->order_.attempt);
         }
         self->owner_.scheduler_.preempted(self->id(), decision_clock::now(),
                                           self->owner_.actions_);
@@ -342,6 +383,7 @@
 
 void owned_order::cancel()
 {
+    advance(chart::request_event::caller_left);
     ended_ = true;
     if (stream_) {
         stream_->cancel();
--- a/src/libdaemon/src/owned_order.hpp
+++ b/src/libdaemon/src/owned_order.hpp
@@ -7,6 +7,7 @@
 
 #include <medlarstall/backend/engine_stream.hpp>
 #include <medlarstall/backend/http_client.hpp>
+#include <medlarstall/chart/request_chart.hpp>
 #include <medlarstall/scheduling/action.hpp>
 
 #include <memory>
@@ -21,7 +22,12 @@
 class owned_order : public std::enable_shared_from_this<owned_order>
 {
 public:
-    owned_order(owner_service& owner, work_order order, event_sink sink);
+    /// \param owner the owner side of this daemon
+    /// \param chart life of a request
+    /// \param order what to run
+    /// \param sink receives the events of the order
+    owned_order(owner_service& owner, chart::request_chart const& chart,
+                work_order order, event_sink sink);
     ~owned_order();
     owned_order(owned_order const&) = delete;
     owned_order& operator=(owned_order const&) = delete;
@@ -52,6 +58,11 @@
     /// Sends an event to the entry daemon.
     void emit(work_event event);
 
+    /// Tells the entry daemon that the order was not run. If the chart does
+    /// not allow that, because an attempt has started, the order counts as
+    /// failed instead: "not run" is a promise.
+    void refuse(work_refused event);
+
     /// Ends what runs at the backend server.
     void cancel();
 
@@ -60,6 +71,7 @@
     void check_reader(std::size_t limit);
 
 private:
+    bool advance(chart::request_event event);
     void run_engine(scheduling::dispatch const& action);
     void run_service();
     backend::engine_stream_handlers engine_handlers();
@@ -73,6 +85,7 @@
     void log_dispatch(scheduling::dispatch const& action) const;
 
     owner_service& owner_;
+    chart::request_chart::machine life_;
     work_order order_;
     event_sink sink_;
     backend_server_info server_;
--- a/src/libdaemon/src/owner_service.cpp
+++ b/src/libdaemon/src/owner_service.cpp
@@ -37,6 +37,7 @@
                              std::size_t stream_buffer_bytes)
     : io_{io}, client_{client}, metrics_{figures}, owner_{std::move(owner)},
       stream_buffer_bytes_{stream_buffer_bytes},
+      chart_{value_of(chart::shared_request_chart())},
       scheduler_{settings_for(owner_)}, wake_timer_{io}, load_timer_{io},
       reader_timer_{io}
 {
@@ -54,8 +55,8 @@
 {
     auto const id = next_id_++;
     order.request.id = id;
-    auto made =
-        std::make_shared<owned_order>(*this, std::move(order), std::move(sink));
+    auto made = std::make_shared<owned_order>(*this, chart_, std::move(order),
+                                              std::move(sink));
     orders_.emplace(id, made);
     if (!made->order().request.isolated ||
         gate_.enter(made->order().fingerprint, id)) {
@@ -93,10 +94,10 @@
         judge_(waiting->order().fingerprint) == routing::suspicion::refused) {
         orders_.erase(found);
         leave_gate(*waiting);
-        waiting->emit(work_refused{"request_quarantined",
-                                   "backend servers crashed each time that "
-                                   "they ran this request",
-                                   milliseconds{0}, false});
+        waiting->refuse(work_refused{"request_quarantined",
+                                     "backend servers crashed each time that "
+                                     "they ran this request",
+                                     milliseconds{0}, false});
         return;
     }
     enqueue(*waiting);
@@ -231,7 +232,7 @@
     for (auto const& one : released) {
         auto const node = orders_.extract(one.value.id);
         if (!node.empty()) {
-            node.mapped()->emit(work_refused{
+            node.mapped()->refuse(work_refused{
                 "draining", "the owner is stopping", milliseconds{0}, true});
         }
     }
@@ -317,10 +318,11 @@
     bool const elsewhere = action.reason == refusal::queue_full ||
                            action.reason == refusal::no_backend_server ||
                            action.reason == refusal::draining;
-    node.mapped()->emit(work_refused{scheduling::to_string(action.reason),
-                                     std::string{"the request was not run: "} +
-                                         scheduling::to_string(action.reason),
-                                     action.retry_after, elsewhere});
+    node.mapped()->refuse(
+        work_refused{scheduling::to_string(action.reason),
+                     std::string{"the request was not run: "} +
+                         scheduling::to_string(action.reason),
+                     action.retry_after, elsewhere});
 }
 
 void owner_service::perform(scheduling::preempt const& action)
@@ -343,9 +345,9 @@
             "owner_changed", "no backend server of this owner can go on", false,
             true});
     } else {
-        node.mapped()->emit(work_refused{"owner_changed",
-                                         "the backend server has left",
-                                         milliseconds{0}, true});
+        node.mapped()->refuse(work_refused{"owner_changed",
+                                           "the backend server has left",
+                                           milliseconds{0}, true});
     }
 }
 
--- a/src/libdaemon/src/owner_service.hpp
+++ b/src/libdaemon/src/owner_service.hpp
@@ -5,6 +5,7 @@
 #include "fleet.hpp"
 #include "work_order.hpp"
 
+#include <medlarstall/chart/request_chart.hpp>
 #include <medlarstall/routing/quarantine.hpp>
 #include <medlarstall/routing/suspect_gate.hpp>
 #include <medlarstall/scheduling/owner_scheduler.hpp>
@@ -139,6 +140,7 @@
     metrics& metrics_;
     std::string owner_;
     std::size_t stream_buffer_bytes_;
+    chart::request_chart const& chart_;
     scheduling::owner_scheduler scheduler_;
     scheduling::action_list actions_;
     bool applying_ = false;
--- a/src/medlarstalld/main.cpp
+++ b/src/medlarstalld/main.cpp
@@ -186,6 +186,11 @@
     if (value_of(read) == settings::next::stop) {
         return EXIT_SUCCESS;
     }
+    auto const charts = daemon::check_charts();
+    if (failed(charts)) {
+        print(error_of(charts));
+        return exit_failure;
+    }
     auto const completed = complete(settings);
     if (failed(completed)) {
         print(error_of(completed));
