Test the last steps of daemons and backend servers

Cause: two rules of the charts had no test: a backend server that has begun to leave never becomes live again, and a stop at the bound reports what it cuts off.

Change: a RapidCheck property for the first, a test for the second.

--- a/tests/libchart/charts_test.cpp
+++ b/tests/libchart/charts_test.cpp
@@ -134,3 +134,27 @@
     BOOST_TEST((machine.state() == daemon_state::stopped));
     BOOST_TEST(name_of(machine.state()) == "stopped");
 }
+
+BOOST_AUTO_TEST_CASE(daemon_reports_what_the_bound_cuts_off)
+{
+    auto machine = value_of(shared_daemon_chart()).start();
+    BOOST_TEST(machine.fire(daemon_event::catalogue_ready).has_value());
+    BOOST_TEST(machine.fire(daemon_event::drain).has_value());
+    auto const passed = machine.fire(daemon_event::bound_passed);
+    BOOST_REQUIRE(passed.has_value());
+    BOOST_TEST((passed->front() == daemon_action::report_cut_off));
+    BOOST_TEST(machine.is_final());
+}
+
+RC_BOOST_PROP(leaving_backend_server_never_returns, ())
+{
+    auto machine = value_of(shared_backend_server_chart()).start();
+    bool left = false;
+    for (auto const event : some_events<backend_server_event>()) {
+        auto const taken = machine.fire(event);
+        RC_ASSERT(!left || machine.state() != backend_server_state::live);
+        left = left ||
+               (taken && std::ranges::count(
+                             *taken, backend_server_action::stop_new_work) > 0);
+    }
+}
