Count open exchanges instead of searching for them, and reuse easy handles

Cause: the front looked at every connection for each request to learn how many answers were open, which grows with the square of the load; each transfer made and freed a libcurl easy handle.

--- a/src/libbackend/src/curl_multi.cpp
+++ b/src/libbackend/src/curl_multi.cpp
@@ -12,6 +12,9 @@
 /// A discarded transfer that does not end within this time is cut off.
 constexpr std::chrono::milliseconds discard_timeout{500};
 
+/// Idle easy handles that are kept, about 10 KiB each.
+constexpr std::size_t max_spare_handles = 256;
+
 /// Makes libcurl's global state once for the process.
 void init_library()
 {
@@ -68,6 +71,9 @@
         curl_multi_remove_handle(multi_, running->handle());
     }
     transfers_.clear();
+    for (auto* const handle : std::exchange(spare_handles_, {})) {
+        curl_easy_cleanup(handle);
+    }
     curl_multi_cleanup(multi_);
     multi_ = nullptr;
     while (!sockets_.empty()) {
@@ -81,8 +87,8 @@
                               transfer_handlers handlers)
 {
     auto const id = next_id_++;
-    auto made = std::make_unique<transfer>(id, std::move(request),
-                                           std::move(handlers), settings_);
+    auto made = std::make_unique<transfer>(
+        take_handle(), id, std::move(request), std::move(handlers), settings_);
     bool const watches = made->watches_silence();
     transfers_.emplace(id, std::move(made));
     if (acting_) {
@@ -97,6 +103,26 @@
     return id;
 }
 
+CURL* curl_multi::take_handle()
+{
+    if (spare_handles_.empty()) {
+        return curl_easy_init();
+    }
+    auto* const handle = spare_handles_.back();
+    spare_handles_.pop_back();
+    return handle;
+}
+
+void curl_multi::keep_handle(transfer& from)
+{
+    // A handler may have closed the client.
+    if (multi_ != nullptr && spare_handles_.size() < max_spare_handles) {
+        auto* const handle = from.release();
+        curl_easy_reset(handle);
+        spare_handles_.push_back(handle);
+    }
+}
+
 void curl_multi::add(transfer_id id)
 {
     auto const found = transfers_.find(id);
@@ -308,6 +334,7 @@
         auto node = transfers_.extract(id);
         curl_multi_remove_handle(multi_, node.mapped()->handle());
         node.mapped()->finish(code);
+        keep_handle(*node.mapped());
     }
 }
 
--- a/src/libbackend/src/curl_multi.hpp
+++ b/src/libbackend/src/curl_multi.hpp
@@ -50,6 +50,8 @@
     void act(curl_socket_t socket, int events);
     void collect_finished();
     void add(transfer_id id);
+    [[nodiscard]] CURL* take_handle();
+    void keep_handle(transfer& from);
     void remove(transfer_id id);
     void watch_silence();
     void check_silence();
@@ -64,6 +66,7 @@
     transfer_id next_id_ = 1;
     std::unordered_map<transfer_id, std::unique_ptr<transfer>> transfers_;
     std::unordered_map<curl_socket_t, std::shared_ptr<watched_socket>> sockets_;
+    std::vector<CURL*> spare_handles_; ///< Reset, for later transfers.
     std::vector<transfer_id> added_;
     std::vector<transfer_id> cancelled_;
     std::vector<transfer_id> resumed_;
--- a/src/libbackend/src/transfer.cpp
+++ b/src/libbackend/src/transfer.cpp
@@ -30,12 +30,12 @@
 
 } // namespace
 
-transfer::transfer(transfer_id id, outgoing_request request,
+transfer::transfer(CURL* handle, transfer_id id, outgoing_request request,
                    transfer_handlers handlers,
                    http_client_settings const& settings)
     : id_{id}, request_{std::move(request)},
       handlers_{std::make_shared<transfer_handlers const>(std::move(handlers))},
-      handle_{curl_easy_init()}, last_byte_{decision_clock::now()}
+      handle_{handle}, last_byte_{decision_clock::now()}
 {
     set_options(settings);
     set_method_and_body();
@@ -43,7 +43,9 @@
 
 transfer::~transfer()
 {
-    curl_easy_cleanup(handle_);
+    if (handle_ != nullptr) {
+        curl_easy_cleanup(handle_);
+    }
     curl_slist_free_all(fields_);
 }
 
--- a/src/libbackend/src/transfer.hpp
+++ b/src/libbackend/src/transfer.hpp
@@ -6,6 +6,8 @@
 
 #include <curl/curl.h>
 
+#include <utility>
+
 namespace medlarstall::backend {
 
 /// One easy handle of libcurl and the handlers of its answer. Owned by
@@ -13,17 +15,21 @@
 class transfer
 {
 public:
+    /// \param handle a fresh or reset easy handle; given back by release()
     /// \param id identifier
     /// \param request what to send
     /// \param handlers receivers of the answer
     /// \param settings bounds of the client
-    transfer(transfer_id id, outgoing_request request,
+    transfer(CURL* handle, transfer_id id, outgoing_request request,
              transfer_handlers handlers, http_client_settings const& settings);
     ~transfer();
     transfer(transfer const&) = delete;
     transfer& operator=(transfer const&) = delete;
 
     [[nodiscard]] CURL* handle() const { return handle_; }
+
+    /// Gives the easy handle back, which the transfer then no longer owns.
+    [[nodiscard]] CURL* release() { return std::exchange(handle_, nullptr); }
     [[nodiscard]] transfer_id id() const { return id_; }
 
     /// Calls the end handler with what libcurl reports.
--- a/src/libentry/include/medlarstall/entry/exchange.hpp
+++ b/src/libentry/include/medlarstall/entry/exchange.hpp
@@ -68,6 +68,7 @@
     void connection_closed();
 
 private:
+    void close();
     void flush();
     void sent(bool succeeded, std::size_t bytes);
 
--- a/src/libentry/src/exchange.cpp
+++ b/src/libentry/src/exchange.cpp
@@ -8,11 +8,20 @@
     : request_{std::move(request)}, transport_{std::move(connection)}
 {}
 
+void exchange::close()
+{
+    closed_ = true;
+    transport_->ended();
+}
+
 exchange::~exchange()
 {
     if (!started_ && !closed_) {
         transport_->abort();
     }
+    if (!closed_) {
+        close();
+    }
 }
 
 void exchange::respond(http_response answer)
@@ -21,7 +30,7 @@
         return;
     }
     started_ = true;
-    closed_ = true;
+    close();
     on_caller_left_ = nullptr;
     transport_->send_whole(std::move(answer));
 }
@@ -59,7 +68,7 @@
     if (closed_) {
         return;
     }
-    closed_ = true;
+    close();
     on_caller_left_ = nullptr;
     on_sent_ = nullptr;
     transport_->abort();
@@ -85,7 +94,7 @@
     if (closed_) {
         return;
     }
-    closed_ = true;
+    close();
     on_sent_ = nullptr;
     if (auto const handler = std::exchange(on_caller_left_, nullptr)) {
         handler();
@@ -110,7 +119,7 @@
         return;
     }
     if (finishing_) {
-        closed_ = true;
+        close();
         on_caller_left_ = nullptr;
         on_sent_ = nullptr;
         transport_->send_end();
--- a/src/libentry/src/http_front.cpp
+++ b/src/libentry/src/http_front.cpp
@@ -161,6 +161,8 @@
     std::uint16_t bound_port_ = 0;
     std::unordered_map<restinio::connection_id_t, connection_exchanges>
         exchanges_;
+    /// Exchanges without an end; shared with them, since they may live on.
+    std::shared_ptr<std::size_t> open_ = std::make_shared<std::size_t>(0);
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
     std::unique_ptr<server> server_;
 };
@@ -237,6 +239,10 @@
              restinio::response_connection_attr_t::connection_close},
             restinio::write_group_t{restinio::writable_items_container_t{}});
     };
+    ++*open_;
+    made->ended = [open = open_] {
+        --*open;
+    };
     return made;
 }
 
@@ -352,14 +358,7 @@
 
 std::size_t http_front::open_exchanges() const
 {
-    std::size_t open = 0;
-    for (auto const& [id, exchanges] : implementation_->exchanges_) {
-        for (auto const& weak : exchanges) {
-            auto const one = weak.lock();
-            open += one && !one->closed() ? 1 : 0;
-        }
-    }
-    return open;
+    return *implementation_->open_;
 }
 
 } // namespace medlarstall::entry
--- a/src/libentry/src/transport.hpp
+++ b/src/libentry/src/transport.hpp
@@ -18,6 +18,7 @@
     std::function<void(std::string, sent_handler)> send_part;
     std::function<void()> send_end;
     std::function<void()> abort;
+    std::function<void()> ended; ///< Called once.
 };
 
 } // namespace medlarstall::entry
