--- a/src/libbackend/src/transfer.cpp
+++ b/src/libbackend/src/transfer.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 /// libcurl looks for a receive buffer of this size for each connection.
-constexpr long receive_buffer_bytes = 16 * 1024;
+constexpr long receive_buffer_bytes = 16L * 1024;
 
 int set_socket_options(void* user_timeout, curl_socket_t socket, curlsocktype)
 {
@@ -105,7 +105,9 @@
         fields_ = curl_slist_append(fields_, "Content-Type:");
     }
     for (auto const& [name, value] : request_.fields) {
-        auto const line = name + ": " + value;
+        auto line = name;
+        line += ": ";
+        line += value;
         fields_ = curl_slist_append(fields_, line.c_str());
     }
     curl_easy_setopt(handle_, CURLOPT_HTTPHEADER, fields_);
--- a/src/libdaemon/src/admin_service.cpp
+++ b/src/libdaemon/src/admin_service.cpp
@@ -115,7 +115,7 @@
 
 void admin_service::guarded(
     exchange_pointer caller, std::string const& what,
-    std::function<void(exchange_pointer, author const&)> handle)
+    std::function<void(exchange_pointer, author const&)> const& handle)
 {
     auto const now = decision_clock::now();
     auto const address = caller->request().remote_address;
--- a/src/libdaemon/src/admin_service.hpp
+++ b/src/libdaemon/src/admin_service.hpp
@@ -45,8 +45,9 @@
         std::string key_digest;
     };
 
-    void guarded(exchange_pointer caller, std::string const& what,
-                 std::function<void(exchange_pointer, author const&)> handle);
+    void
+    guarded(exchange_pointer caller, std::string const& what,
+            std::function<void(exchange_pointer, author const&)> const& handle);
     [[nodiscard]] bool identify(entry::exchange const& caller,
                                 author& found) const;
     void show_catalogue(exchange_pointer const& caller) const;
--- a/src/libdaemon/src/fleet_service.cpp
+++ b/src/libdaemon/src/fleet_service.cpp
@@ -145,6 +145,7 @@
     self_.leaving = true;
     node_.known.listed_daemons[self_.id] = self_;
     std::vector<daemon_info> daemons;
+    daemons.reserve(node_.known.listed_daemons.size());
     for (auto const& [id, one] : node_.known.listed_daemons) {
         daemons.push_back(one);
     }
@@ -321,11 +322,14 @@
 void fleet_service::assign()
 {
     std::vector<daemon_info> daemons;
+    daemons.reserve(node_.known.daemons.size());
     for (auto const& [id, one] : node_.known.daemons) {
         daemons.push_back(one);
     }
     std::vector<backend_server_info> servers;
     std::vector<backend_server_info> usable;
+    servers.reserve(node_.known.backend_servers.size());
+    usable.reserve(node_.known.backend_servers.size());
     for (auto const& [id, one] : node_.known.backend_servers) {
         servers.push_back(one);
         if (!one.leaving) {
--- a/src/libdaemon/src/member_service.cpp
+++ b/src/libdaemon/src/member_service.cpp
@@ -134,7 +134,7 @@
 {
     queries_.ask_all(
         "load", json::object(), query_timeout,
-        [this, caller](std::map<std::string, json> answers) {
+        [this, caller](std::map<std::string, json> const& answers) {
             auto list = json::array();
             for (auto const& [id, one] : node_.known.daemons) {
                 auto const answer = answers.find(id);
@@ -168,7 +168,7 @@
 {
     queries_.ask_all(
         "in-force", json::object(), query_timeout,
-        [this, caller](std::map<std::string, json> answers) {
+        [this, caller](std::map<std::string, json> const& answers) {
             auto list = json::array();
             auto missing = json::array();
             bool agree = true;
@@ -194,7 +194,7 @@
 {
     queries_.ask_all(
         "usage", json::object(), query_timeout,
-        [this, caller](std::map<std::string, json> answers) {
+        [this, caller](std::map<std::string, json> const& answers) {
             auto const asked = answers.size();
             auto const sum = sum_usage(answers);
             std::uint64_t all_tokens = 0;
--- a/src/libdaemon/src/owned_order.cpp
+++ b/src/libdaemon/src/owned_order.cpp
@@ -87,7 +87,7 @@
     owner_.client_.cancel(transfer_);
 }
 
-void owned_order::emit(work_event event)
+void owned_order::emit(work_event event) const
 {
     sink_.send(std::move(event));
 }
--- a/src/libdaemon/src/owned_order.hpp
+++ b/src/libdaemon/src/owned_order.hpp
@@ -56,7 +56,7 @@
     void preempt();
 
     /// Sends an event to the entry daemon.
-    void emit(work_event event);
+    void emit(work_event event) const;
 
     /// Tells the entry daemon that the order was not run. If the chart does
     /// not allow that, because an attempt has started, the order counts as
--- a/src/libdaemon/src/peer_queries.cpp
+++ b/src/libdaemon/src/peer_queries.cpp
@@ -27,7 +27,11 @@
 
     void note_end()
     {
-        if (open > 0 && --open == 0) {
+        if (open == 0) {
+            return;
+        }
+        --open;
+        if (open == 0) {
             finish();
         }
     }
--- a/src/libdaemon/src/service_call.cpp
+++ b/src/libdaemon/src/service_call.cpp
@@ -103,8 +103,8 @@
 
 void service_call::send()
 {
-    if (auto problem = routing_.quarantined()) {
-        give_up(*std::move(problem));
+    if (auto const problem = routing_.quarantined()) {
+        give_up(*problem);
         return;
     }
     auto target = routing_.choose(attempt_);
@@ -228,8 +228,8 @@
 
 void service_call::follow(next_step step)
 {
-    if (auto* problem = std::get_if<api_error>(&step)) {
-        give_up(std::move(*problem));
+    if (auto const* problem = std::get_if<api_error>(&step)) {
+        give_up(*problem);
         return;
     }
     retry_timer_.expires_after(std::get<try_again>(step).delay);
@@ -241,7 +241,7 @@
     });
 }
 
-void service_call::give_up(api_error problem)
+void service_call::give_up(api_error const& problem)
 {
     log_line{severity::info, "give_up"}
         .with("attempt", attempt_)
--- a/src/libdaemon/src/service_call.hpp
+++ b/src/libdaemon/src/service_call.hpp
@@ -78,7 +78,7 @@
     void on(work_failed const& event);
     void link_lost();
     void follow(next_step step);
-    void give_up(api_error problem);
+    void give_up(api_error const& problem);
     void end(std::string const& outcome);
     void abandon();
     void caller_left();
