Ask for the instance list only when it changed, and take changes together

Cause: at 350 daemons and 930 backend servers the list is about 230 KB, so reading it each second costs 25 times the control budget; eight claim streams were polled each second at rest; a membership change there takes about 70 ms to work out, and many at once would stall streams.

--- a/src/libdaemon/src/claim_service.cpp
+++ b/src/libdaemon/src/claim_service.cpp
@@ -18,7 +18,7 @@
 /// Until an append counts as one whose effect is unknown.
 constexpr milliseconds append_time_limit{3'000};
 
-constexpr milliseconds read_wait{1'000};
+constexpr milliseconds read_wait{5'000};
 constexpr std::size_t read_limit = 1'000;
 constexpr milliseconds read_retry_delay{250};
 
--- a/src/libdaemon/src/fleet_service.cpp
+++ b/src/libdaemon/src/fleet_service.cpp
@@ -20,11 +20,15 @@
 /// Bytes a second for summaries, which every daemon sends and receives; the
 /// rest of its control traffic has to
 /// fit beside both into 9 KB/s.
-constexpr double summary_bytes_per_second = 2'500;
+constexpr double summary_bytes_per_second = 1'500;
 
 /// Most of the budget that is saved up, so that a change goes out at once.
 constexpr double summary_burst_bytes = 1'000;
 
+/// Owners and subsets of a large fleet take tens of milliseconds to work out,
+/// so changes that come together are taken together.
+constexpr milliseconds recompute_interval{200};
+
 /// Shortest time between two updates of the catalogue to one daemon.
 constexpr milliseconds catalogue_resend{400};
 
@@ -182,8 +186,10 @@
     for (auto const& one : actions.heartbeats) {
         send(one.to, {{"h", membership::to_json(one.message)}});
     }
-    if (view_->generation() != seen_generation_ ||
-        states_.generation() != seen_servers_ || stale_) {
+    bool const changed = view_->generation() != seen_generation_ ||
+                         states_.generation() != seen_servers_ || stale_;
+    if (changed && now - recomputed_at_ >= recompute_interval) {
+        recomputed_at_ = now;
         recompute();
     }
     update_health(now);
--- a/src/libdaemon/src/fleet_service.hpp
+++ b/src/libdaemon/src/fleet_service.hpp
@@ -107,6 +107,7 @@
     std::uint64_t bytes_sent_ = 0;
     std::uint64_t notices_ = 0;
     bool stale_ = true;
+    time_point recomputed_at_;
     asio::steady_timer timer_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/src/libplatform/src/http_platform.cpp
+++ b/src/libplatform/src/http_platform.cpp
@@ -21,6 +21,7 @@
 constexpr std::size_t largest_append = std::size_t{1} << 20U;
 constexpr int ok = 200;
 constexpr int no_content = 204;
+constexpr int not_modified = 304;
 constexpr int not_found = 404;
 constexpr int too_many_requests = 429;
 
@@ -205,6 +206,8 @@
     std::shared_ptr<platform_caller> caller;
     std::deque<waiting_append> waiting;
     std::size_t in_flight = 0;
+    instance_snapshot list; ///< Last one read.
+    std::string list_tag;   ///< Its ETag; empty if the platform gives none.
 };
 
 void http_platform::implementation::start_appends()
@@ -283,7 +286,26 @@
 
 void http_platform::list_instances(list_callback on_done)
 {
-    parts_->perform({.path = "/instances"}, read_snapshot, std::move(on_done));
+    call_request request{.path = "/instances"};
+    if (!parts_->list_tag.empty()) {
+        request.fields = {{"If-None-Match", parts_->list_tag}};
+    }
+    // An unchanged list costs a few bytes, whatever its length.
+    auto read = [parts = parts_](
+                    call_outcome const& outcome) -> result<instance_snapshot> {
+        if (outcome.response != nullptr &&
+            outcome.response->status == not_modified) {
+            return parts->list;
+        }
+        auto snapshot = read_snapshot(outcome);
+        if (!failed(snapshot)) {
+            parts->list = value_of(snapshot);
+            parts->list_tag = std::string{
+                backend::find_field(outcome.response->fields, "ETag")};
+        }
+        return snapshot;
+    };
+    parts_->perform(std::move(request), std::move(read), std::move(on_done));
 }
 
 void http_platform::put_instance(instance const& registered,
--- a/src/libplatform/src/platform_call.cpp
+++ b/src/libplatform/src/platform_call.cpp
@@ -68,7 +68,7 @@
         .method = running->request.method,
         .url = "http://" + settings_.addresses[running->address] +
                running->request.path,
-        .fields = {},
+        .fields = running->request.fields,
         .body = running->request.body,
         .repeatable = true,
         .connect_timeout = std::min(settings_.connect_timeout, timeout),
--- a/src/libplatform/src/platform_call.hpp
+++ b/src/libplatform/src/platform_call.hpp
@@ -19,6 +19,7 @@
     std::string method = "GET";
     std::string path;
     std::string body;
+    backend::header_fields fields;
     std::chrono::milliseconds try_timeout{0};
     /// Tries go on until then; absent: one try at each address.
     std::optional<time_point> give_up;
--- a/tests/libplatform/http_platform_test.cpp
+++ b/tests/libplatform/http_platform_test.cpp
@@ -225,6 +225,12 @@
     BOOST_REQUIRE(!failed(*listed));
     BOOST_REQUIRE(value_of(*listed).instances.size() == 1U);
     BOOST_TEST((value_of(*listed).instances[0] == registered));
+    // An unchanged list comes from memory and is the same.
+    listed.reset();
+    platform->list_instances([&](auto const& snapshot) { listed = snapshot; });
+    run_until(context, [&] { return listed.has_value(); });
+    BOOST_REQUIRE(!failed(*listed));
+    BOOST_TEST((value_of(*listed).instances[0] == registered));
     std::optional<status> removed;
     platform->remove_instance("d1", [&](status const& s) { removed = s; });
     run_until(context, [&] { return removed.has_value(); });
--- a/tests/standins/src/platform_standin.cpp
+++ b/tests/standins/src/platform_standin.cpp
@@ -7,6 +7,7 @@
 #include "switch_request.hpp"
 
 #include <medlarstall/platform/record_log.hpp>
+#include <medlarstall/support/digest.hpp>
 
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
@@ -315,9 +316,15 @@
     auto const& request = exchange.request();
     auto const now = decision_clock::now();
     if (!request.path.starts_with(instances_prefix)) {
-        reply_json(exchange, 200,
-                   {{"instances", registry.list(switches.list_lag, now)},
-                    {"age_ms", switches.list_lag.count()}});
+        json const body{{"instances", registry.list(switches.list_lag, now)},
+                        {"age_ms", switches.list_lag.count()}};
+        auto const text = body.dump();
+        auto const tag = '"' + std::to_string(hash64(text)) + '"';
+        if (request.header("If-None-Match") == tag) {
+            exchange.reply(304, "", {{"ETag", tag}});
+        } else {
+            exchange.reply(200, text, {{"ETag", tag}});
+        }
         return;
     }
     auto const id = request.path.substr(instances_prefix.size());
