--- a/src/libdaemon/src/fleet_service.cpp
+++ b/src/libdaemon/src/fleet_service.cpp
@@ -15,7 +15,10 @@
 using nlohmann::json;
 using std::chrono::milliseconds;
 
-constexpr milliseconds tick_interval{50};
+constexpr milliseconds tick_interval{100};
+
+/// How often backend servers are compared with their siblings.
+constexpr milliseconds health_interval{200};
 
 /// Bytes a second for summaries, which every daemon sends and receives; the
 /// rest of its control traffic has to
@@ -292,6 +295,10 @@
     }
     collect_backend_servers();
     assign();
+    // What this daemon owns from now on can be routed to at once.
+    for (auto const& one : node_.owner->summaries()) {
+        node_.router.take_summary(one, decision_clock::now());
+    }
     node_.router.set_daemons(
         static_cast<std::uint32_t>(node_.known.daemons.size()));
     if (former_generation != seen_generation_) {
@@ -376,6 +383,10 @@
 
 void fleet_service::update_health(time_point now)
 {
+    if (now - health_at_ < health_interval) {
+        return;
+    }
+    health_at_ = now;
     for (auto const& change : node_.health.evaluate(now)) {
         node_.router.set_health(change.backend_server, change.to,
                                 change.slowdown);
--- a/src/libdaemon/src/fleet_service.hpp
+++ b/src/libdaemon/src/fleet_service.hpp
@@ -108,6 +108,7 @@
     std::uint64_t notices_ = 0;
     bool stale_ = true;
     time_point recomputed_at_;
+    time_point health_at_;
     asio::steady_timer timer_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/src/libentry/src/http_front.cpp
+++ b/src/libentry/src/http_front.cpp
@@ -336,8 +336,9 @@
                     .acceptor_post_bind_hook([&self](auto& acceptor) {
                         self.bound_port_ = acceptor.local_endpoint().port();
                     })
-                    .request_handler([&self, alive = std::weak_ptr{
-                                                 self.alive_}](auto source) {
+                    .request_handler([&self,
+                                      alive = std::weak_ptr{self.alive_}](
+                                         auto const& source) {
                         return alive.expired() ? restinio::request_rejected()
                                                : self.handle(source);
                     });
--- a/src/libpeer/src/peer_server.cpp
+++ b/src/libpeer/src/peer_server.cpp
@@ -46,7 +46,7 @@
     void close()
     {
         asio::error_code ignored;
-        static_cast<void>(acceptor_.close(ignored));
+        ignored = acceptor_.close(ignored);
         on_stream_ = [](auto const&) {
         };
         for (auto const& weak : connections_) {
--- a/src/libplatform/src/http_platform.cpp
+++ b/src/libplatform/src/http_platform.cpp
@@ -175,7 +175,7 @@
     {}
 
     template<class Read, class Callback>
-    void perform(call_request request, Read read, Callback on_done)
+    void perform(call_request request, Read const& read, Callback on_done)
     {
         if (request.try_timeout == 0ms) {
             request.try_timeout = settings.try_timeout;
@@ -305,7 +305,7 @@
         }
         return snapshot;
     };
-    parts_->perform(std::move(request), std::move(read), std::move(on_done));
+    parts_->perform(std::move(request), read, std::move(on_done));
 }
 
 void http_platform::put_instance(instance const& registered,
--- a/tests/libdaemon/bad_input_test.cpp
+++ b/tests/libdaemon/bad_input_test.cpp
@@ -75,7 +75,7 @@
 
 BOOST_AUTO_TEST_CASE(refuses_a_body_that_is_too_large)
 {
-    refused(std::string(70 * 1024, 'x'), 413, "body_too_large");
+    refused(std::string(std::size_t{70} * 1024, 'x'), 413, "body_too_large");
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/libpeer/peer_link_test.cpp
+++ b/tests/libpeer/peer_link_test.cpp
@@ -33,7 +33,7 @@
     void serve(std::shared_ptr<peer_stream> stream)
     {
         auto const weak = std::weak_ptr{stream};
-        stream->on_message([weak](message content) {
+        stream->on_message([weak](message const& content) {
             if (auto const open = weak.lock()) {
                 open->send(content);
             }
@@ -68,7 +68,7 @@
     auto const stream = link.pool.open("127.0.0.1", link.port, "/echo");
     std::vector<int> answers;
     stream->on_message(
-        [&](message content) { answers.push_back(content.at("n")); });
+        [&](message const& content) { answers.push_back(content.at("n")); });
     for (int n = 0; n < 100; ++n) {
         stream->send({{"n", n}, {"text", std::string(10'000, 'x')}});
     }
--- a/tests/standins/src/instance_registry.cpp
+++ b/tests/standins/src/instance_registry.cpp
@@ -5,6 +5,7 @@
 namespace {
 
 constexpr std::chrono::seconds longest_lag{60};
+constexpr std::chrono::milliseconds least_distance{20};
 
 } // namespace
 
@@ -32,14 +33,13 @@
 nlohmann::json instance_registry::list(duration lag, time_point now)
 {
     lapse(now);
-    auto instances = nlohmann::json::array();
-    for (auto const& snapshot : snapshots_) {
-        if (snapshot.at + lag > now) {
-            break;
+    for (auto snapshot = snapshots_.rbegin(); snapshot != snapshots_.rend();
+         ++snapshot) {
+        if (snapshot->at + lag <= now) {
+            return snapshot->instances;
         }
-        instances = snapshot.instances;
     }
-    return instances;
+    return nlohmann::json::array();
 }
 
 void instance_registry::lapse(time_point now)
@@ -58,6 +58,13 @@
     for (auto const& [id, registration] : registrations_) {
         instances.push_back(registration.instance);
     }
+    // Changes that come together share a snapshot, so that a long list does
+    // not fill the memory with copies of itself.
+    if (snapshots_.size() > 1 && now - snapshots_.back().at < least_distance &&
+        snapshots_.back().at - snapshots_[snapshots_.size() - 2].at <
+            least_distance) {
+        snapshots_.pop_back();
+    }
     snapshots_.push_back({now, std::move(instances)});
     while (snapshots_.size() > 1 && snapshots_[1].at + longest_lag < now) {
         snapshots_.pop_front();
