--- a/src/libcatalogue/include/medlarstall/catalogue/catalogue.hpp
+++ b/src/libcatalogue/include/medlarstall/catalogue/catalogue.hpp
@@ -9,12 +9,15 @@
 
 namespace medlarstall::catalogue {
 
-/// An entry and the number of changes that led to it.
+/// An entry and the change that led to it.
 template<class Entry>
 struct revised
 {
     Entry value;
     revision at = 0;
+    std::string changed_by; ///< Id of the change that led to it, or empty.
+
+    bool operator==(revised const&) const = default;
 };
 
 template<class Entry>
@@ -29,6 +32,8 @@
     entry_table<model> models;
     entry_table<service> services;
     entry_table<operator_key> operator_keys;
+
+    bool operator==(catalogue const&) const = default;
 };
 
 /// Finds an entry by its name.
@@ -43,7 +48,8 @@
     return found == table.end() ? nullptr : &found->second.value;
 }
 
-/// Finds the organisation that owns a caller's key.
+/// Finds the organisation that owns a caller's key by looking at each; a
+/// key_index answers in constant time.
 /// \param entries catalogue in force
 /// \param key the key as the caller sent it
 /// \return the organisation, or null if no organisation has that key
--- a/src/libcatalogue/include/medlarstall/catalogue/catalogue_reader.hpp
+++ b/src/libcatalogue/include/medlarstall/catalogue/catalogue_reader.hpp
@@ -4,6 +4,8 @@
 #include <medlarstall/catalogue/catalogue.hpp>
 #include <medlarstall/support/result.hpp>
 
+#include <nlohmann/json_fwd.hpp>
+
 #include <string_view>
 
 namespace medlarstall::catalogue {
@@ -16,6 +18,11 @@
     /// \return the catalogue with every entry at revision 1, or an error with
     ///     the path of the value, the value and what is allowed
     [[nodiscard]] result<catalogue> read(std::string_view text) const;
+
+    /// \param document JSON value
+    /// \return as for text
+    [[nodiscard]] result<catalogue>
+    read_json(nlohmann::json const& document) const;
 };
 
 } // namespace medlarstall::catalogue
--- /dev/null
+++ b/src/libcatalogue/include/medlarstall/catalogue/key_index.hpp
@@ -0,0 +1,38 @@
+#ifndef MEDLARSTALL_CATALOGUE_KEY_INDEX_HPP
+#define MEDLARSTALL_CATALOGUE_KEY_INDEX_HPP
+
+#include <medlarstall/catalogue/catalogue.hpp>
+
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+namespace medlarstall::catalogue {
+
+/// Finds the holder of a key in constant time. Made from one catalogue, which
+/// must outlive it and stay unchanged. Keys are looked up by their SHA-256, so
+/// the time taken tells nothing of use about a key.
+class key_index
+{
+public:
+    key_index() = default;
+
+    /// \param entries catalogue to index
+    explicit key_index(catalogue const& entries);
+
+    /// \param key the key as the caller sent it
+    /// \return the organisation, or null if no organisation has that key
+    [[nodiscard]] organisation const* find(std::string_view key) const;
+
+    /// \param key the key as the operator sent it
+    /// \return the operator key, or null if there is none
+    [[nodiscard]] operator_key const* find_operator(std::string_view key) const;
+
+private:
+    std::unordered_map<std::string, organisation const*> organisations_;
+    std::unordered_map<std::string, operator_key const*> operator_keys_;
+};
+
+} // namespace medlarstall::catalogue
+
+#endif
--- /dev/null
+++ b/src/libcatalogue/src/validation.cpp
@@ -0,0 +1,191 @@
+#include <medlarstall/catalogue/validation.hpp>
+
+#include <algorithm>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace medlarstall::catalogue {
+
+namespace {
+
+using failure = std::optional<error>;
+
+std::string path_of(char const* table, std::string const& name,
+                    char const* field)
+{
+    return std::string{"$."} + table + "." + name + "." + field;
+}
+
+failure check_floors(catalogue const& entries)
+{
+    double sum = 0.0;
+    for (auto const& [name, entry] : entries.classes) {
+        sum += entry.value.floor;
+        if (sum >= 1.0) {
+            return error{path_of("classes", name, "floor"),
+                         "makes the sum of the floors " + std::to_string(sum) +
+                             "; must be less than 1"};
+        }
+    }
+    return std::nullopt;
+}
+
+failure check_class(catalogue const& entries, std::string const& path,
+                    std::string const& class_name)
+{
+    if (find(entries.classes, class_name) == nullptr) {
+        return error{path,
+                     "'" + class_name + "'; must name an entry of classes"};
+    }
+    return std::nullopt;
+}
+
+failure check_organisations(catalogue const& entries)
+{
+    for (auto const& [name, entry] : entries.organisations) {
+        for (auto const& class_name : entry.value.classes) {
+            auto const path = path_of("organisations", name, "classes");
+            if (auto found = check_class(entries, path, class_name)) {
+                return found;
+            }
+        }
+    }
+    return std::nullopt;
+}
+
+template<class Entry>
+failure check_target(catalogue const& entries, char const* table,
+                     Entry const& entry, group_kind kind)
+{
+    auto const path = path_of(table, entry.name, "group");
+    auto const* group = find(entries.groups, entry.group);
+    if (group == nullptr) {
+        return error{path,
+                     "'" + entry.group + "'; must name an entry of groups"};
+    }
+    if (group->kind != kind) {
+        return error{path,
+                     "'" + entry.group + "'; must be a group of " +
+                         (kind == group_kind::engine ? "engines" : "services")};
+    }
+    if (entry.default_class.empty()) {
+        return std::nullopt;
+    }
+    return check_class(entries, path_of(table, entry.name, "default_class"),
+                       entry.default_class);
+}
+
+failure check_models(catalogue const& entries)
+{
+    for (auto const& [name, entry] : entries.models) {
+        if (auto found = check_target(entries, "models", entry.value,
+                                      group_kind::engine)) {
+            return found;
+        }
+    }
+    return std::nullopt;
+}
+
+bool is_method(std::string const& text)
+{
+    return text == "*" || (!text.empty() && text.size() <= 16 &&
+                           std::ranges::all_of(text, [](char letter) {
+                               return letter >= 'A' && letter <= 'Z';
+                           }));
+}
+
+failure check_operations(service const& entry)
+{
+    for (auto const& operation : entry.operations) {
+        if (!is_method(operation.method)) {
+            return error{path_of("services", entry.name, "operations"),
+                         "method '" + operation.method +
+                             "'; must be * or up to 16 capital letters"};
+        }
+        if (!operation.path_prefix.starts_with('/')) {
+            return error{path_of("services", entry.name, "operations"),
+                         "path_prefix '" + operation.path_prefix +
+                             "'; must start with /"};
+        }
+    }
+    return std::nullopt;
+}
+
+failure check_services(catalogue const& entries)
+{
+    for (auto const& [name, entry] : entries.services) {
+        if (auto found = check_target(entries, "services", entry.value,
+                                      group_kind::service)) {
+            return found;
+        }
+        if (auto found = check_operations(entry.value)) {
+            return found;
+        }
+    }
+    return std::nullopt;
+}
+
+failure check_backend_servers(catalogue const& entries)
+{
+    std::set<std::string> seen;
+    for (auto const& [name, entry] : entries.groups) {
+        for (auto const& server : entry.value.backend_servers) {
+            if (!seen.insert(server.id).second) {
+                return error{path_of("groups", name, "backend_servers"),
+                             "id '" + server.id +
+                                 "'; must not stand twice in the catalogue"};
+            }
+        }
+        std::set<std::string> roles;
+        for (auto const& target : entry.value.roles) {
+            if (!roles.insert(target.role).second) {
+                return error{path_of("groups", name, "roles"),
+                             "role '" + target.role +
+                                 "'; must not stand twice in a group"};
+            }
+        }
+    }
+    return std::nullopt;
+}
+
+failure check_keys(catalogue const& entries)
+{
+    std::set<std::string> seen;
+    for (auto const& [name, entry] : entries.organisations) {
+        for (auto const& digest : entry.value.key_digests) {
+            if (!seen.insert(digest).second) {
+                return error{path_of("organisations", name, "key_digests"),
+                             digest + "; must not stand twice"};
+            }
+        }
+    }
+    bool consortium = entries.operator_keys.empty();
+    for (auto const& [name, entry] : entries.operator_keys) {
+        consortium = consortium || entry.value.consortium;
+        if (!seen.insert(entry.value.key_digest).second) {
+            return error{path_of("operator_keys", name, "key_digest"),
+                         entry.value.key_digest + "; must not stand twice"};
+        }
+    }
+    if (!consortium) {
+        return error{"$.operator_keys",
+                     "has no key of a consortium operator; must keep one"};
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+status validate(catalogue const& entries)
+{
+    for (auto* check : {check_floors, check_organisations, check_models,
+                        check_services, check_backend_servers, check_keys}) {
+        if (auto found = check(entries)) {
+            return *found;
+        }
+    }
+    return success();
+}
+
+} // namespace medlarstall::catalogue
