--- a/bench/policy/fake_engine.hpp
+++ b/bench/policy/fake_engine.hpp
@@ -1,7 +1,7 @@
 #ifndef MEDLARSTALL_BENCH_FAKE_ENGINE_HPP
 #define MEDLARSTALL_BENCH_FAKE_ENGINE_HPP
 
-#include "event_queue.hpp"
+#include <medlarstall/emulator/event_queue.hpp>
 
 #include <cstdint>
 #include <deque>
@@ -11,6 +11,8 @@
 
 namespace medlarstall::bench {
 
+using emulator::event_queue;
+
 /// How fast a fake engine is. Plain data.
 struct engine_speed
 {
--- a/src/libcatalogue/src/catalogue_follower.cpp
+++ b/src/libcatalogue/src/catalogue_follower.cpp
@@ -1,9 +1,9 @@
 #include <medlarstall/catalogue/catalogue_follower.hpp>
 
-#include <medlarstall/catalogue/json_text.hpp>
 #include <medlarstall/catalogue/limits.hpp>
 #include <medlarstall/catalogue/record_codec.hpp>
 #include <medlarstall/support/digest.hpp>
+#include <medlarstall/support/json_text.hpp>
 
 #include <algorithm>
 #include <ranges>
--- a/src/libcatalogue/src/catalogue_reader.cpp
+++ b/src/libcatalogue/src/catalogue_reader.cpp
@@ -1,11 +1,10 @@
 #include <medlarstall/catalogue/catalogue_reader.hpp>
 
-#include "object_reader.hpp"
-
 #include <medlarstall/catalogue/entry_reader.hpp>
-#include <medlarstall/catalogue/json_text.hpp>
 #include <medlarstall/catalogue/limits.hpp>
 #include <medlarstall/catalogue/validation.hpp>
+#include <medlarstall/support/json_text.hpp>
+#include <medlarstall/support/object_reader.hpp>
 
 #include <nlohmann/json.hpp>
 
--- a/src/libcatalogue/src/catalogue_writer.cpp
+++ b/src/libcatalogue/src/catalogue_writer.cpp
@@ -1,7 +1,7 @@
 #include <medlarstall/catalogue/catalogue_writer.hpp>
 
-#include <medlarstall/catalogue/json_text.hpp>
 #include <medlarstall/support/digest.hpp>
+#include <medlarstall/support/json_text.hpp>
 
 #include <nlohmann/json.hpp>
 
--- a/src/libcatalogue/src/checkpoint.cpp
+++ b/src/libcatalogue/src/checkpoint.cpp
@@ -1,12 +1,11 @@
 #include <medlarstall/catalogue/checkpoint.hpp>
 
-#include "object_reader.hpp"
-
 #include <medlarstall/catalogue/catalogue_reader.hpp>
 #include <medlarstall/catalogue/catalogue_writer.hpp>
-#include <medlarstall/catalogue/json_text.hpp>
 #include <medlarstall/catalogue/limits.hpp>
 #include <medlarstall/support/digest.hpp>
+#include <medlarstall/support/json_text.hpp>
+#include <medlarstall/support/object_reader.hpp>
 
 #include <algorithm>
 #include <utility>
--- a/src/libcatalogue/src/entry_reader.cpp
+++ b/src/libcatalogue/src/entry_reader.cpp
@@ -1,8 +1,7 @@
 #include <medlarstall/catalogue/entry_reader.hpp>
 
-#include "object_reader.hpp"
-
 #include <medlarstall/catalogue/limits.hpp>
+#include <medlarstall/support/object_reader.hpp>
 
 #include <utility>
 
--- a/src/libcatalogue/src/log_record.cpp
+++ b/src/libcatalogue/src/log_record.cpp
@@ -1,6 +1,5 @@
 #include <medlarstall/catalogue/log_record.hpp>
-
-#include "object_reader.hpp"
+#include <medlarstall/support/object_reader.hpp>
 
 namespace medlarstall::catalogue {
 
--- a/src/libcatalogue/src/record_codec.cpp
+++ b/src/libcatalogue/src/record_codec.cpp
@@ -1,12 +1,11 @@
 #include <medlarstall/catalogue/record_codec.hpp>
 
-#include "object_reader.hpp"
-
 #include <medlarstall/catalogue/catalogue_writer.hpp>
 #include <medlarstall/catalogue/entry_reader.hpp>
-#include <medlarstall/catalogue/json_text.hpp>
 #include <medlarstall/catalogue/limits.hpp>
 #include <medlarstall/support/digest.hpp>
+#include <medlarstall/support/json_text.hpp>
+#include <medlarstall/support/object_reader.hpp>
 #include <medlarstall/support/uuid.hpp>
 
 #include <utility>
--- a/src/libdispatch/include/medlarstall/dispatch/dispatcher.hpp
+++ b/src/libdispatch/include/medlarstall/dispatch/dispatcher.hpp
@@ -164,6 +164,16 @@
     /// \return its health as seen on connections, or nullptr if it is unknown
     [[nodiscard]] server_health* health_of(std::string_view id);
 
+    /// \param id backend server
+    /// \return the state of its health, down if it is unknown
+    [[nodiscard]] health state_of(std::string_view id) const;
+
+    /// \param id backend server
+    /// \param now current time
+    /// \return what all daemons have in flight there, as far as known
+    [[nodiscard]] server_load load_of(std::string_view id,
+                                      time_point now) const;
+
     /// Lists the backend servers that should be probed now, and takes the
     /// probes as sent.
     /// \param now current time
--- a/src/libdispatch/src/dispatcher.cpp
+++ b/src/libdispatch/src/dispatcher.cpp
@@ -407,6 +407,18 @@
     return found == records_.end() ? nullptr : &found->second.state;
 }
 
+health dispatcher::state_of(std::string_view id) const
+{
+    auto const* const record = find_record(id);
+    return record == nullptr ? health::down : record->state.state();
+}
+
+server_load dispatcher::load_of(std::string_view id, time_point now) const
+{
+    auto const* const record = find_record(id);
+    return record == nullptr ? server_load{} : total_load(*record, now);
+}
+
 std::vector<backend_server_entry> dispatcher::due_probes(time_point now)
 {
     std::vector<backend_server_entry> due;
--- a/bench/policy/event_queue.hpp
+++ b/src/libemulator/include/medlarstall/emulator/event_queue.hpp
@@ -1,21 +1,26 @@
-#ifndef MEDLARSTALL_BENCH_EVENT_QUEUE_HPP
-#define MEDLARSTALL_BENCH_EVENT_QUEUE_HPP
+#ifndef MEDLARSTALL_EMULATOR_EVENT_QUEUE_HPP
+#define MEDLARSTALL_EMULATOR_EVENT_QUEUE_HPP
 
 #include <medlarstall/support/time.hpp>
 
+#include <algorithm>
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <queue>
 #include <utility>
 #include <vector>
 
-namespace medlarstall::bench {
+namespace medlarstall::emulator {
 
 /// Virtual time: runs actions in order of their times, equal ones in the
 /// order in which they were added.
 class event_queue
 {
 public:
+    /// Virtual time at the beginning.
+    static constexpr time_point start{std::chrono::hours{1}};
+
     /// \return the current virtual time
     [[nodiscard]] time_point now() const { return now_; }
 
@@ -60,11 +65,11 @@
         }
     };
 
-    time_point now_{std::chrono::hours{1}};
+    time_point now_ = start;
     std::uint64_t next_ = 0;
     std::priority_queue<event_type> events_;
 };
 
-} // namespace medlarstall::bench
+} // namespace medlarstall::emulator
 
 #endif
--- a/src/libcatalogue/include/medlarstall/catalogue/json_text.hpp
+++ b/src/libsupport/include/medlarstall/support/json_text.hpp
@@ -1,5 +1,5 @@
-#ifndef MEDLARSTALL_CATALOGUE_JSON_TEXT_HPP
-#define MEDLARSTALL_CATALOGUE_JSON_TEXT_HPP
+#ifndef MEDLARSTALL_SUPPORT_JSON_TEXT_HPP
+#define MEDLARSTALL_SUPPORT_JSON_TEXT_HPP
 
 #include <medlarstall/support/result.hpp>
 
@@ -9,7 +9,7 @@
 #include <string>
 #include <string_view>
 
-namespace medlarstall::catalogue {
+namespace medlarstall {
 
 /// Bounds on JSON text that comes from outside.
 struct json_bounds
@@ -30,6 +30,6 @@
 /// \return its canonical text: sorted keys, no spaces, shortest numbers
 [[nodiscard]] std::string canonical_text(nlohmann::json const& value);
 
-} // namespace medlarstall::catalogue
+} // namespace medlarstall
 
 #endif
--- a/src/libcatalogue/src/object_reader.hpp
+++ b/src/libsupport/include/medlarstall/support/object_reader.hpp
@@ -1,5 +1,5 @@
-#ifndef MEDLARSTALL_CATALOGUE_OBJECT_READER_HPP
-#define MEDLARSTALL_CATALOGUE_OBJECT_READER_HPP
+#ifndef MEDLARSTALL_SUPPORT_OBJECT_READER_HPP
+#define MEDLARSTALL_SUPPORT_OBJECT_READER_HPP
 
 #include <medlarstall/support/result.hpp>
 
@@ -13,7 +13,7 @@
 #include <string_view>
 #include <vector>
 
-namespace medlarstall::catalogue {
+namespace medlarstall {
 
 /// Smallest and largest value allowed.
 template<class T>
@@ -23,7 +23,7 @@
     T most;
 };
 
-/// Forms of text that a catalogue holds.
+/// Forms of text in fields.
 enum class text_form
 {
     name,      ///< 1 to 128 of letters, digits and ._:/-
@@ -109,6 +109,6 @@
     bool usable_;
 };
 
-} // namespace medlarstall::catalogue
+} // namespace medlarstall
 
 #endif
--- a/src/libcatalogue/src/json_text.cpp
+++ b/src/libsupport/src/json_text.cpp
@@ -1,11 +1,11 @@
-#include <medlarstall/catalogue/json_text.hpp>
+#include <medlarstall/support/json_text.hpp>
 
 #include <nlohmann/json.hpp>
 
 #include <set>
 #include <vector>
 
-namespace medlarstall::catalogue {
+namespace medlarstall {
 
 namespace {
 
@@ -96,4 +96,4 @@
     return value.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
-} // namespace medlarstall::catalogue
+} // namespace medlarstall
--- a/src/libcatalogue/src/object_reader.cpp
+++ b/src/libsupport/src/object_reader.cpp
@@ -1,9 +1,9 @@
-#include "object_reader.hpp"
+#include <medlarstall/support/object_reader.hpp>
 
 #include <algorithm>
 #include <utility>
 
-namespace medlarstall::catalogue {
+namespace medlarstall {
 
 namespace {
 
@@ -277,4 +277,4 @@
     fail(path_of(key), shown(value) + "; " + allowed);
 }
 
-} // namespace medlarstall::catalogue
+} // namespace medlarstall
--- a/tests/libcatalogue/catalogue_reader_test.cpp
+++ b/tests/libcatalogue/catalogue_reader_test.cpp
@@ -1,8 +1,8 @@
 #include <medlarstall/catalogue/catalogue_reader.hpp>
 #include <medlarstall/catalogue/catalogue_writer.hpp>
-#include <medlarstall/catalogue/json_text.hpp>
 #include <medlarstall/catalogue/key_index.hpp>
 #include <medlarstall/support/digest.hpp>
+#include <medlarstall/support/json_text.hpp>
 
 #include <boost/test/unit_test.hpp>
 #include <nlohmann/json.hpp>
@@ -188,7 +188,7 @@
     auto const deep = reader.read(std::string(100'000, '['));
     BOOST_REQUIRE(failed(deep));
     BOOST_TEST(error_of(deep).message == "is nested deeper than 12 levels");
-    auto const bounded = catalogue::parse_json("[1, 2]", {.bytes = 5});
+    auto const bounded = parse_json("[1, 2]", {.bytes = 5});
     BOOST_REQUIRE(failed(bounded));
 }
 
