--- a/src/libemulator/include/medlarstall/emulator/experiment.hpp
+++ b/src/libemulator/include/medlarstall/emulator/experiment.hpp
@@ -70,9 +70,8 @@
 struct shared_part
 {
     spread_number tokens;
-    std::uint32_t different = 1;  ///< Parts to draw from.
-    double skew = 0;              ///< 0: all are drawn alike.
-    bool of_organisation = false; ///< Shared within an organisation only.
+    std::uint32_t different = 1; ///< Parts to draw from.
+    double skew = 0;             ///< 0: all are drawn alike.
 };
 
 /// Requests of one kind.
@@ -134,6 +133,7 @@
     double large_share = 0.5; ///< Of the load, of all large ones together.
     double wave = 0;          ///< The load swings by this part.
     seconds wave_period{13};
+    double wave_phase = 0; ///< Part of a period that is over at the start.
     std::chrono::milliseconds hop{2}; ///< One way, daemon to backend server.
     std::chrono::milliseconds news_interval{200}; ///< Between daemons.
     std::vector<service_settings> services;
--- a/src/libemulator/src/emulated_fleet.cpp
+++ b/src/libemulator/src/emulated_fleet.cpp
@@ -1,5 +1,7 @@
 #include "emulated_fleet.hpp"
 
+#include <medlarstall/dispatch/waiting_policy.hpp>
+
 #include <algorithm>
 #include <utility>
 
@@ -9,9 +11,6 @@
 
 using std::chrono::milliseconds;
 
-constexpr milliseconds server_poll{20};
-/// Part of the objective for which a request waits for a backend server.
-constexpr int waiting_part = 8;
 constexpr milliseconds no_server_return{400};
 constexpr milliseconds turned_away_return{60};
 constexpr milliseconds restart_return{200};
@@ -118,11 +117,13 @@
     auto const now = events_.now();
     auto const wanted = work_of(call);
     auto const where = choose(strategy_, decisions_for(call), wanted, now);
-    if (where) {
+    auto const pause = dispatch::pause_before_next_look(
+        route_of(call), now - state.asked, where, now);
+    if (pause > duration::zero() &&
+        strategy_ != placement_strategy::no_waiting) {
+        events_.after(pause, [this, call] { place(call); });
+    } else if (where) {
         send(call, wanted, *where);
-    } else if (strategy_ != placement_strategy::no_waiting &&
-               now - state.asked < route_of(call).objective / waiting_part) {
-        events_.after(server_poll, [this, call] { place(call); });
     } else if (state.attempts.may_have_run) {
         seen_.note_broken(call);
     } else {
--- a/src/libemulator/src/experiment.cpp
+++ b/src/libemulator/src/experiment.cpp
@@ -21,7 +21,7 @@
 constexpr double most_factor = 1000;
 constexpr double most_number = 1e9;
 constexpr unsigned most_count = 100000;
-constexpr unsigned most_organisations = 4000; ///< Part ids have 12 bits.
+constexpr unsigned most_organisations = 4000;
 constexpr milliseconds longest{3600000};
 
 template<class T, std::size_t Size>
@@ -153,7 +153,6 @@
     read_spread(reader, "tokens", failure, made.tokens);
     reader.read("different", made.different, {1, most_different});
     reader.read("skew", made.skew, {0, most_skew});
-    reader.read("of_organisation", made.of_organisation);
     reader.finish();
     return made;
 }
@@ -270,6 +269,7 @@
     reader.read("large_share", made.large_share, {0, 1});
     reader.read("wave", made.wave, {0, most_wave});
     read_seconds(reader, "wave_period_s", made.wave_period);
+    reader.read("wave_phase", made.wave_phase, {0, 1});
     reader.read("hop_ms", made.hop, {0ms, longest});
     reader.read("news_interval_ms", made.news_interval, {1ms, longest});
     reader.each("services", most_items, [&](auto const& item, auto path) {
--- a/src/libemulator/src/workload.cpp
+++ b/src/libemulator/src/workload.cpp
@@ -115,8 +115,9 @@
 
     double rate(seconds at) const
     {
-        auto const angle =
-            2.0 * std::numbers::pi * (at.count() / from_.wave_period.count());
+        auto const periods =
+            at.count() / from_.wave_period.count() + from_.wave_phase;
+        auto const angle = 2.0 * std::numbers::pi * periods;
         double factor = 1.0 + from_.wave * std::sin(angle);
         for (auto const& one : from_.troubles) {
             if (!is_at(one, at)) {
@@ -157,21 +158,13 @@
         return false;
     }
 
-    dispatch::prompt_part draw_part(std::size_t level, std::uint32_t owner,
-                                    bool hot)
+    dispatch::prompt_part draw_part(std::size_t level, bool hot)
     {
-        auto const& part = settings_.shared[level];
+        constexpr std::uint64_t radix = 4096;
         auto const position = hot ? 0 : positions_[level].draw(random_);
-        std::uint64_t id = kind_ + 1;
-        for (auto const next :
-             {static_cast<std::uint64_t>(level),
-              static_cast<std::uint64_t>(part.of_organisation ? owner + 1 : 0),
-              static_cast<std::uint64_t>(position)}) {
-            constexpr std::uint64_t radix = 4096;
-            id = id * radix + next;
-        }
+        auto const id = ((kind_ + 1) * radix + level) * radix + position;
         random_engine of_part{id}; // The same part is always as long.
-        return {id, draw_tokens(part.tokens, of_part)};
+        return {id, draw_tokens(settings_.shared[level].tokens, of_part)};
     }
 
     arrival make(seconds at)
@@ -188,8 +181,7 @@
         }
         auto const hot = is_hot(at);
         for (std::size_t level = 0; level < positions_.size(); ++level) {
-            made.asked.parts.push_back(
-                draw_part(level, made.organisation, hot));
+            made.asked.parts.push_back(draw_part(level, hot));
         }
         made.asked.parts.push_back(
             {first_own_part + kind_ * (std::uint64_t{1} << 32U) + ++made_,
--- a/src/libgateway/include/medlarstall/gateway/forwarded_request.hpp
+++ b/src/libgateway/include/medlarstall/gateway/forwarded_request.hpp
@@ -103,7 +103,7 @@
 
     void arm_deadline();
     void look_for_server();
-    void wait_for_server();
+    void look_again_after(duration pause);
     void send_to(dispatch::placement const& where);
     std::string request_text(dispatch::placement const& where) const;
     http::call_events events_of_send(std::uint64_t number);
--- a/src/libgateway/src/forwarded_request.cpp
+++ b/src/libgateway/src/forwarded_request.cpp
@@ -1,5 +1,7 @@
 #include <medlarstall/gateway/forwarded_request.hpp>
 
+#include <medlarstall/dispatch/waiting_policy.hpp>
+
 #include <xxhash.h>
 
 #include <algorithm>
@@ -14,9 +16,6 @@
 
 constexpr int bad_gateway = 502;
 
-constexpr milliseconds server_poll{20};
-/// Part of the objective for which a request waits for a backend server.
-constexpr int waiting_part = 8;
 constexpr milliseconds least_useful_time{5};
 constexpr milliseconds silent_stream{1200};
 constexpr milliseconds turned_away_return{60};
@@ -130,13 +129,12 @@
         return; // The deadline timer answers.
     }
     auto const where = shared_.dispatcher.choose(work_to_place(), now);
-    if (where) {
+    auto const pause = dispatch::pause_before_next_look(
+        *request_.route, now - began_, where, now);
+    if (pause > duration::zero()) {
+        look_again_after(pause);
+    } else if (where) {
         send_to(*where);
-        return;
-    }
-    auto const patient = request_.route->objective / waiting_part;
-    if (now - began_ < patient) {
-        wait_for_server();
     } else if (attempts_.may_have_run) {
         give_up(bad_gateway, "no_other_backend_server");
     } else {
@@ -144,9 +142,9 @@
     }
 }
 
-void forwarded_request::wait_for_server()
+void forwarded_request::look_again_after(duration pause)
 {
-    wait_timer_.expires_after(server_poll);
+    wait_timer_.expires_after(pause);
     wait_timer_.async_wait(
         [weak = weak_from_this()](std::error_code cancelled) {
             auto const self = weak.lock();
@@ -211,6 +209,7 @@
         .with("health", name_of(where.state))
         .with("list", shared_.list_offset())
         .with("entry_age", where.entry_age)
+        .with("waited", now - began_)
         .with("left", time_left(now));
     auto const bodiless = caller_->head().method == "HEAD";
     auto const connection = send_->connection;
