--- a/src/libgateway/src/peer_news.cpp
+++ b/src/libgateway/src/peer_news.cpp
@@ -1,5 +1,7 @@
 #include <medlarstall/gateway/peer_news.hpp>
 
+#include <medlarstall/support/json_text.hpp>
+
 #include <nlohmann/json.hpp>
 
 namespace medlarstall::gateway {
@@ -113,12 +115,12 @@
 template<class Value, class Read>
 result<Value> decode(std::string_view bytes, char const* what, Read read)
 {
-    auto const value = json::from_cbor(bytes.begin(), bytes.end(), true, false);
-    if (value.is_discarded()) {
-        return error{what, "is not CBOR"};
+    auto const value = parse_cbor(bytes);
+    if (failed(value)) {
+        return error{what, "is not CBOR: " + error_of(value).message};
     }
     try {
-        return read(value);
+        return read(value_of(value));
     } catch (json::exception const& failure) {
         return error{what, failure.what()};
     }
--- a/src/libpeer/src/message.cpp
+++ b/src/libpeer/src/message.cpp
@@ -1,5 +1,7 @@
 #include <medlarstall/peer/message.hpp>
 
+#include <medlarstall/support/json_text.hpp>
+
 namespace medlarstall::peer {
 
 namespace {
@@ -15,22 +17,6 @@
     return length;
 }
 
-bool too_deep(message const& content, std::size_t depth)
-{
-    if (depth > max_message_depth) {
-        return true;
-    }
-    if (!content.is_structured()) {
-        return false;
-    }
-    for (auto const& part : content) {
-        if (too_deep(part, depth + 1)) {
-            return true;
-        }
-    }
-    return false;
-}
-
 } // namespace
 
 std::string encode(message const& content)
@@ -60,17 +46,14 @@
             break;
         }
         auto const encoded = rest.substr(length_bytes, length);
-        auto content =
-            message::from_cbor(encoded.begin(), encoded.end(), true, false);
-        if (content.is_discarded()) {
-            return error{"message", "is not CBOR"};
-        }
-        if (too_deep(content, 0)) {
-            return error{"message", "is nested deeper than " +
-                                        std::to_string(max_message_depth)};
+        auto content = parse_cbor(
+            encoded, {.depth = max_message_depth, .bytes = max_message_bytes});
+        if (failed(content)) {
+            return error{"message",
+                         "is not CBOR: " + error_of(content).message};
         }
         position += length_bytes + length;
-        on_message(std::move(content));
+        on_message(std::move(value_of(content)));
     }
     buffer_.erase(0, position);
     return success();
--- a/src/libsupport/include/medlarstall/support/json_text.hpp
+++ b/src/libsupport/include/medlarstall/support/json_text.hpp
@@ -11,7 +11,7 @@
 
 namespace medlarstall {
 
-/// Bounds on JSON text that comes from outside.
+/// Bounds on JSON text and CBOR that come from outside.
 struct json_bounds
 {
     std::size_t depth = 12;         ///< Nested objects and arrays.
@@ -26,6 +26,14 @@
 [[nodiscard]] result<nlohmann::json> parse_json(std::string_view text,
                                                 json_bounds bounds = {});
 
+/// Parses CBOR strictly, with the same refusals. Lengths that the bytes claim
+/// are believed only as far as the bytes go.
+/// \param bytes encoded value
+/// \param bounds what is refused
+/// \return the value, or an error with its place
+[[nodiscard]] result<nlohmann::json> parse_cbor(std::string_view bytes,
+                                                json_bounds bounds = {});
+
 /// \param value JSON value
 /// \return its canonical text: sorted keys, no spaces, shortest numbers
 [[nodiscard]] std::string canonical_text(nlohmann::json const& value);
--- a/src/libsupport/src/json_text.cpp
+++ b/src/libsupport/src/json_text.cpp
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -10,6 +11,7 @@
 namespace {
 
 using nlohmann::json;
+using format = json::input_format_t;
 
 /// Receives the parser's events and refuses deep text and duplicate keys.
 class shape_checker
@@ -75,9 +77,8 @@
     error failure_;
 };
 
-} // namespace
-
-result<json> parse_json(std::string_view text, json_bounds bounds)
+std::optional<error> find_problem(std::string_view text,
+                                  json_bounds const& bounds, format encoding)
 {
     if (text.size() > bounds.bytes) {
         return error{"json", "has " + std::to_string(text.size()) +
@@ -85,12 +86,30 @@
                                  std::to_string(bounds.bytes)};
     }
     shape_checker checker{bounds.depth};
-    if (!json::sax_parse(text, &checker)) {
+    if (!json::sax_parse(text.begin(), text.end(), &checker, encoding)) {
         return checker.failure();
     }
+    return std::nullopt;
+}
+
+} // namespace
+
+result<json> parse_json(std::string_view text, json_bounds bounds)
+{
+    if (auto const problem = find_problem(text, bounds, format::json)) {
+        return *problem;
+    }
     return json::parse(text);
 }
 
+result<json> parse_cbor(std::string_view bytes, json_bounds bounds)
+{
+    if (auto const problem = find_problem(bytes, bounds, format::cbor)) {
+        return *problem;
+    }
+    return json::from_cbor(bytes.begin(), bytes.end());
+}
+
 std::string canonical_text(json const& value)
 {
     return value.dump(-1, ' ', false, json::error_handler_t::replace);
--- a/tests/libgateway/pieces_test.cpp
+++ b/tests/libgateway/pieces_test.cpp
@@ -109,6 +109,19 @@
     RC_SUCCEED("was read or refused");
 }
 
+BOOST_AUTO_TEST_CASE(a_datagram_that_claims_a_huge_array_is_refused)
+{
+    // Found with RapidCheck's seed 10026352615265404132.
+    BOOST_TEST(failed(decode_news("\x9B"
+                                  "aaaaaaaa")));
+}
+
+BOOST_AUTO_TEST_CASE(a_datagram_nested_very_deep_is_refused)
+{
+    constexpr std::size_t most_bytes = 65000;
+    BOOST_TEST(failed(decode_news(std::string(most_bytes, '\x81'))));
+}
+
 RC_BOOST_PROP(a_spoilt_datagram_does_not_end_the_daemon, ())
 {
     auto bytes = encode(news_of(1, 1));
