--- a/src/libdispatch/include/medlarstall/dispatch/dispatcher.hpp
+++ b/src/libdispatch/include/medlarstall/dispatch/dispatcher.hpp
@@ -48,9 +48,8 @@
     cost_ms expected_first_event = 0;
     std::uint32_t cached_tokens = 0;
     std::uint32_t copied_tokens = 0;
-    std::string copy_from;    ///< Address to copy them from.
-    time_point parts_ready{}; ///< When what is cached will have been read.
-    double in_flight = 0;     ///< There, as far as known.
+    std::string copy_from; ///< Address to copy them from.
+    double in_flight = 0;  ///< There, as far as known.
     health state = health::up;
     std::chrono::milliseconds entry_age{0};
 };
@@ -64,7 +63,6 @@
     double prefill_tokens = 0;
     double memory_tokens = 0;
     double sensitivity = 0;
-    std::optional<prompt> reading; ///< Until its answer begins.
     cost_ms expected_first_event = 0;
     time_point sent;
     bool answered = false;
--- a/src/libdispatch/include/medlarstall/dispatch/part_cache.hpp
+++ b/src/libdispatch/include/medlarstall/dispatch/part_cache.hpp
@@ -36,15 +36,6 @@
     /// \return tokens at its beginning that need not be read again
     [[nodiscard]] std::uint32_t cached_tokens(prompt const& wanted) const;
 
-    /// \param wanted a prompt
-    /// \return when the parts that need not be read again will have been read
-    [[nodiscard]] time_point ready_at(prompt const& wanted) const;
-
-    /// Notes that a prompt has been read.
-    /// \param read the prompt
-    /// \param now current time
-    void note_ready(prompt const& read, time_point now);
-
     /// \return number of parts that are remembered
     [[nodiscard]] std::size_t size() const { return parts_.size(); }
 
--- a/src/libdispatch/src/dispatcher.cpp
+++ b/src/libdispatch/src/dispatcher.cpp
@@ -284,7 +284,6 @@
             judged.cached_tokens,
             judged.copied_tokens,
             judged.copied_tokens > 0 ? caches.holder : "",
-            wanted.asked ? record.parts.ready_at(*wanted.asked) : time_point{},
             judged.load.in_flight,
             record.state.state(),
             std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -339,7 +338,6 @@
         auto const wait = std::chrono::duration_cast<duration>(
             milliseconds{chosen.expected_first_event * slower_than_expected});
         record.parts.note(asked, now + wait, now);
-        held.reading = asked;
     }
     record.own.in_flight += 1;
     record.own.prefill_tokens += held.prefill_tokens;
@@ -358,10 +356,6 @@
     auto& record = found->second;
     record.state.on_alive();
     record.own.prefill_tokens -= held.prefill_tokens;
-    if (held.reading) {
-        record.parts.note_ready(*held.reading, now);
-        held.reading.reset();
-    }
     auto const took = milliseconds{now - held.sent}.count();
     if (held.memory_tokens > 0) {
         auto const expected = held.expected_first_event / record.slowness;
--- a/src/libdispatch/src/part_cache.cpp
+++ b/src/libdispatch/src/part_cache.cpp
@@ -48,29 +48,6 @@
     return std::min(tokens, wanted.tokens);
 }
 
-time_point part_cache::ready_at(prompt const& wanted) const
-{
-    time_point latest{};
-    for (auto const& part : wanted.parts) {
-        auto const found = parts_.find(part.id);
-        if (found == parts_.end()) {
-            break;
-        }
-        latest = std::max(latest, found->second.ready);
-    }
-    return latest;
-}
-
-void part_cache::note_ready(prompt const& read, time_point now)
-{
-    for (auto const& part : read.parts) {
-        auto const found = parts_.find(part.id);
-        if (found != parts_.end()) {
-            found->second.ready = std::min(found->second.ready, now);
-        }
-    }
-}
-
 void part_cache::make_room()
 {
     while (!parts_.empty() && ((capacity_ > 0 && tokens_ > capacity_) ||
--- a/src/libemulator/src/emulated_fleet.cpp
+++ b/src/libemulator/src/emulated_fleet.cpp
@@ -117,13 +117,15 @@
     auto const now = events_.now();
     auto const wanted = work_of(call);
     auto const where = choose(strategy_, decisions_for(call), wanted, now);
-    auto const pause = dispatch::pause_before_next_look(
-        route_of(call), now - state.asked, where, now);
+    if (where) {
+        send(call, wanted, *where);
+        return;
+    }
+    auto const pause =
+        dispatch::pause_before_next_look(route_of(call), now - state.asked);
     if (pause > duration::zero() &&
         strategy_ != placement_strategy::no_waiting) {
         events_.after(pause, [this, call] { place(call); });
-    } else if (where) {
-        send(call, wanted, *where);
     } else if (state.attempts.may_have_run) {
         seen_.note_broken(call);
     } else {
--- a/src/libgateway/src/forwarded_request.cpp
+++ b/src/libgateway/src/forwarded_request.cpp
@@ -129,12 +129,14 @@
         return; // The deadline timer answers.
     }
     auto const where = shared_.dispatcher.choose(work_to_place(), now);
-    auto const pause = dispatch::pause_before_next_look(
-        *request_.route, now - began_, where, now);
+    if (where) {
+        send_to(*where);
+        return;
+    }
+    auto const pause =
+        dispatch::pause_before_next_look(*request_.route, now - began_);
     if (pause > duration::zero()) {
         look_again_after(pause);
-    } else if (where) {
-        send_to(*where);
     } else if (attempts_.may_have_run) {
         give_up(bad_gateway, "no_other_backend_server");
     } else {
