--- a/src/libclaim/include/medlarstall/claim/action.hpp
+++ b/src/libclaim/include/medlarstall/claim/action.hpp
@@ -31,12 +31,13 @@
     std::vector<record> records;
 };
 
-/// Read a stream from an offset, waiting for records there. Answer with
-/// claim_engine::records or read_failed.
+/// Read a stream from an offset. Answer with claim_engine::records or
+/// read_failed.
 struct read_action
 {
     std::size_t stream = 0;
     std::uint64_t from = 0;
+    bool waits = false; ///< For records there; if not, it is answered at once.
 };
 
 /// Run the call, once. Answer with claim_engine::dispatched before the first
--- a/src/libclaim/include/medlarstall/claim/stream_position.hpp
+++ b/src/libclaim/include/medlarstall/claim/stream_position.hpp
@@ -40,6 +40,10 @@
     /// \return true if the stream was read to the end that it had at the start
     [[nodiscard]] bool caught_up() const;
 
+    /// \return true once a read has told the end of the stream. Before that
+    ///         a read must not wait for records: there may be none.
+    [[nodiscard]] bool begun() const { return begun_; }
+
     /// \return offset to read from
     [[nodiscard]] std::uint64_t next() const { return next_; }
 
--- a/src/libclaim/src/claim_engine.cpp
+++ b/src/libclaim/src/claim_engine.cpp
@@ -91,8 +91,8 @@
     if (stream.needs_review && stream.position.caught_up()) {
         review(stream, now, out);
     }
-    out.emplace_back(
-        read_action{.stream = batch.stream, .from = stream.position.next()});
+    out.emplace_back(read_action{
+        .stream = batch.stream, .from = stream.position.next(), .waits = true});
     flush(now, out);
     return out;
 }
@@ -351,7 +351,8 @@
         if (retry.has_value() && *retry <= now.steady) {
             retry.reset();
             out.emplace_back(read_action{.stream = stream.index,
-                                         .from = stream.position.next()});
+                                         .from = stream.position.next(),
+                                         .waits = stream.position.begun()});
         }
     }
 }
--- a/src/libdaemon/src/claim_service.cpp
+++ b/src/libdaemon/src/claim_service.cpp
@@ -171,10 +171,11 @@
                 take_page(stream, value_of(outcome));
             }
         };
-    platform_.read(
-        log_of(action.stream),
-        {.from = action.from, .limit = read_limit, .wait = read_wait},
-        std::move(on_done));
+    platform_.read(log_of(action.stream),
+                   {.from = action.from,
+                    .limit = read_limit,
+                    .wait = action.waits ? read_wait : milliseconds{0}},
+                   std::move(on_done));
 }
 
 void claim_service::read_failed(std::size_t stream)
--- a/src/libdispatch/include/medlarstall/dispatch/dispatcher.hpp
+++ b/src/libdispatch/include/medlarstall/dispatch/dispatcher.hpp
@@ -248,8 +248,9 @@
         time_point reading_updated;
     };
     /// What the choice for one request compares between backend servers.
-    struct cache_view
+    struct comparison
     {
+        double mean_failures = 0;
         std::uint32_t most_cached = 0;
         std::uint32_t most_ready = 0;
         std::string holder; ///< Address of the one with most_ready.
@@ -259,14 +260,13 @@
     server_record& record_of(std::string_view id);
     server_record const* find_record(std::string_view id) const;
     static double reading_share(server_record const& record, time_point now);
-    cache_view look_at_caches(work const& wanted, health worst,
-                              time_point now) const;
-    static void copy_where_possible(candidate& judged, cache_view const& caches,
+    comparison compare(work const& wanted, health worst, time_point now) const;
+    static void copy_where_possible(candidate& judged, comparison const& others,
                                     routes::service const* service);
     server_load total_load(server_record const& record, time_point now) const;
     candidate judge(listed_servers::belief const& belief,
                     server_record const& record, work const& wanted,
-                    cache_view const& caches, time_point now) const;
+                    comparison const& others, time_point now) const;
     double mean_failures(std::string_view service) const;
     bool may_use(listed_servers::belief const& belief, work const& wanted,
                  health worst) const;
--- a/src/libdispatch/src/dispatcher.cpp
+++ b/src/libdispatch/src/dispatcher.cpp
@@ -141,12 +141,13 @@
     return record.own.reading_share * std::exp(-(age / reading_memory));
 }
 
-/// Finds who keeps the prompt, and the order of homes for one nobody keeps.
-dispatcher::cache_view dispatcher::look_at_caches(work const& wanted,
-                                                  health worst,
-                                                  time_point now) const
+/// Finds how often sends fail, who keeps the prompt, and the order of homes for
+/// one that nobody keeps.
+dispatcher::comparison dispatcher::compare(work const& wanted, health worst,
+                                           time_point now) const
 {
-    cache_view view;
+    comparison view;
+    view.mean_failures = mean_failures(wanted.service);
     if (!wanted.asked || wanted.asked->parts.empty()) {
         return view;
     }
@@ -189,14 +190,14 @@
 
 /// Notes what a backend server can copy of the prompt from the holder.
 void dispatcher::copy_where_possible(candidate& judged,
-                                     cache_view const& caches,
+                                     comparison const& others,
                                      routes::service const* service)
 {
     auto const able = service != nullptr && service->model &&
                       service->model->bytes_per_token > 0 &&
                       service->model->link_mbps > 0;
-    auto const more = caches.most_ready > judged.cached_tokens
-                          ? caches.most_ready - judged.cached_tokens
+    auto const more = others.most_ready > judged.cached_tokens
+                          ? others.most_ready - judged.cached_tokens
                           : 0;
     if (!able || more < least_copied) {
         return;
@@ -212,7 +213,7 @@
 
 candidate dispatcher::judge(listed_servers::belief const& belief,
                             server_record const& record, work const& wanted,
-                            cache_view const& caches, time_point now) const
+                            comparison const& others, time_point now) const
 {
     candidate judged;
     judged.load = total_load(record, now);
@@ -222,8 +223,8 @@
     judged.other_data_centre =
         belief.entry.data_centre != settings_.data_centre;
     judged.excess_failures =
-        std::max(0.0, record.state.failure_share() -
-                          mean_failures(wanted.service) - tolerated_failures);
+        std::max(0.0, record.state.failure_share() - others.mean_failures -
+                          tolerated_failures);
     auto const* const service =
         table_ ? table_->find_service(wanted.service) : nullptr;
     if (service != nullptr && service->model) {
@@ -231,9 +232,9 @@
     }
     if (wanted.asked && !wanted.asked->parts.empty()) {
         judged.cached_tokens = record.parts.cached_tokens(*wanted.asked);
-        judged.cached_elsewhere = caches.most_cached > judged.cached_tokens;
-        copy_where_possible(judged, caches, service);
-        judged.home_rank = caches.home_ranks.at(belief.entry.id);
+        judged.cached_elsewhere = others.most_cached > judged.cached_tokens;
+        copy_where_possible(judged, others, service);
+        judged.home_rank = others.home_ranks.at(belief.entry.id);
     }
     return judged;
 }
@@ -258,14 +259,14 @@
 {
     std::optional<placement> best;
     std::size_t candidates = 0;
-    auto const caches = look_at_caches(wanted, worst, now);
+    auto const others = compare(wanted, worst, now);
     for (auto const& [id, belief] : list_.all()) {
         if (!may_use(belief, wanted, worst)) {
             continue;
         }
         ++candidates;
         auto const& record = *find_record(id);
-        auto const judged = judge(belief, record, wanted, caches, now);
+        auto const judged = judge(belief, record, wanted, others, now);
         auto const cost = wanted.asked ? prompt_cost(judged, *wanted.asked,
                                                      wanted.sensitivity)
                                        : plain_cost(judged);
@@ -283,7 +284,7 @@
             wanted.asked ? expected_first_event(judged, *wanted.asked) : cost,
             judged.cached_tokens,
             judged.copied_tokens,
-            judged.copied_tokens > 0 ? caches.holder : "",
+            judged.copied_tokens > 0 ? others.holder : "",
             judged.load.in_flight,
             record.state.state(),
             std::chrono::duration_cast<std::chrono::milliseconds>(
--- a/src/libgateway/include/medlarstall/gateway/forwarded_request.hpp
+++ b/src/libgateway/include/medlarstall/gateway/forwarded_request.hpp
@@ -138,7 +138,7 @@
     std::chrono::milliseconds patience() const;
     std::chrono::milliseconds
     return_after(std::chrono::milliseconds base) const;
-    std::uint64_t fingerprint() const;
+    std::uint64_t make_fingerprint() const;
 
     request_context& shared_;
     admitted_request request_;
@@ -148,6 +148,7 @@
     asio::steady_timer wait_timer_;
     std::string service_;
     std::uint64_t hash_ = 0;
+    dispatch::fingerprint fingerprint_ = 0;
     time_point began_;
     time_point deadline_;
     time_point first_piece_;
--- a/src/libgateway/include/medlarstall/gateway/peer_link.hpp
+++ b/src/libgateway/include/medlarstall/gateway/peer_link.hpp
@@ -37,9 +37,6 @@
     void send(std::vector<std::string> const& addresses,
               std::string const& bytes);
 
-    /// Stops receiving.
-    void close();
-
 private:
     void receive();
 
--- a/src/libgateway/src/forwarded_request.cpp
+++ b/src/libgateway/src/forwarded_request.cpp
@@ -58,7 +58,7 @@
     deadline_ = began_ + limit;
 }
 
-std::uint64_t forwarded_request::fingerprint() const
+std::uint64_t forwarded_request::make_fingerprint() const
 {
     auto const& head = caller_->head();
     auto const path = hash_of(http::path_of(head.target));
@@ -82,8 +82,9 @@
         }
     });
     arm_deadline();
+    fingerprint_ = make_fingerprint();
     shared_.dispatcher.note_request(service_, now);
-    if (shared_.dispatcher.crashes().refuses(fingerprint(), now)) {
+    if (shared_.dispatcher.crashes().refuses(fingerprint_, now)) {
         refuse("crashes_backend_servers", crash_return);
         return;
     }
@@ -271,7 +272,7 @@
         if (state != nullptr) {
             state->on_suspicion(now);
         }
-        shared_.dispatcher.crashes().note_loss(fingerprint(), server, now);
+        shared_.dispatcher.crashes().note_loss(fingerprint_, server, now);
     }
     auto const unsent = http::certainly_not_sent(failure);
     end_send(unsent ? dispatch::send_outcome::withdrawn
--- a/src/libgateway/src/forwarded_request_relay.cpp
+++ b/src/libgateway/src/forwarded_request_relay.cpp
@@ -172,7 +172,7 @@
         look_for_server();
         return;
     }
-    shared_.dispatcher.crashes().note_success(fingerprint());
+    shared_.dispatcher.crashes().note_success(fingerprint_);
     if (send_->mode == relay_mode::whole) {
         deliver_whole();
     } else {
--- a/src/libgateway/src/peer_link.cpp
+++ b/src/libgateway/src/peer_link.cpp
@@ -61,10 +61,4 @@
     }
 }
 
-void peer_link::close()
-{
-    std::error_code ignored;
-    std::ignore = socket_.close(ignored);
-}
-
 } // namespace medlarstall::gateway
--- a/src/libhttp/src/header_list.cpp
+++ b/src/libhttp/src/header_list.cpp
@@ -1,5 +1,7 @@
 #include <medlarstall/http/header_list.hpp>
 
+#include <medlarstall/support/split.hpp>
+
 #include <algorithm>
 #include <array>
 #include <cctype>
@@ -20,32 +22,10 @@
     return static_cast<char>(std::tolower(static_cast<unsigned char>(letter)));
 }
 
-std::string_view trimmed(std::string_view text)
-{
-    while (!text.empty() && (text.front() == ' ' || text.front() == '\t')) {
-        text.remove_prefix(1);
-    }
-    while (!text.empty() && (text.back() == ' ' || text.back() == '\t')) {
-        text.remove_suffix(1);
-    }
-    return text;
-}
-
-std::vector<std::string> items_of(std::string_view list)
-{
-    std::vector<std::string> items;
-    while (!list.empty()) {
-        auto const comma = list.find(',');
-        items.emplace_back(trimmed(list.substr(0, comma)));
-        list = comma == std::string_view::npos ? std::string_view{}
-                                               : list.substr(comma + 1);
-    }
-    return items;
-}
-
-bool among(std::string_view name, std::vector<std::string> const& names)
+template<class Names>
+bool among(std::string_view name, Names const& names)
 {
-    return std::ranges::any_of(names, [name](std::string const& other) {
+    return std::ranges::any_of(names, [name](std::string_view other) {
         return same_name(name, other);
     });
 }
@@ -90,7 +70,9 @@
     std::vector<std::string> named;
     for (auto const& item : entries_) {
         if (same_name(item.name, "connection")) {
-            std::ranges::move(items_of(item.value), std::back_inserter(named));
+            for (auto const word : split(item.value, ',')) {
+                named.emplace_back(word);
+            }
         }
     }
     std::erase_if(entries_, [&](header const& item) {
@@ -103,7 +85,8 @@
 bool header_list::has_token(std::string_view name, std::string_view word) const
 {
     return std::ranges::any_of(entries_, [&](header const& item) {
-        return same_name(item.name, name) && among(word, items_of(item.value));
+        return same_name(item.name, name) &&
+               among(word, split(item.value, ','));
     });
 }
 
--- a/src/libhttp/src/message.cpp
+++ b/src/libhttp/src/message.cpp
@@ -1,5 +1,7 @@
 #include <medlarstall/http/message.hpp>
 
+#include <medlarstall/support/split.hpp>
+
 #include <http_parser.h>
 
 #include <array>
@@ -15,18 +17,15 @@
 std::string_view query_value(std::string_view target, std::string_view name)
 {
     auto const mark = target.find('?');
-    auto query = mark == std::string_view::npos ? std::string_view{}
-                                                : target.substr(mark + 1);
-    while (!query.empty()) {
-        auto const end = query.find('&');
-        auto const item = query.substr(0, end);
+    if (mark == std::string_view::npos) {
+        return {};
+    }
+    for (auto const item : split(target.substr(mark + 1), '&')) {
         auto const equals = item.find('=');
         if (equals != std::string_view::npos &&
             item.substr(0, equals) == name) {
             return item.substr(equals + 1);
         }
-        query = end == std::string_view::npos ? std::string_view{}
-                                              : query.substr(end + 1);
     }
     return {};
 }
--- a/src/libroutes/include/medlarstall/routes/configuration.hpp
+++ b/src/libroutes/include/medlarstall/routes/configuration.hpp
@@ -42,7 +42,6 @@
     std::vector<service_share> services;
     std::uint32_t attempts = 1; ///< Backend servers tried at most.
     bool is_public = false;     ///< Needs no key.
-    bool carries_prompt = false;
     bool resumable = false;
 
     /// \return true if a request may be sent again after it may have run
@@ -68,7 +67,6 @@
 {
     std::string name;
     std::string health_path;
-    std::uint32_t max_connections = 0; ///< Of one backend server; 0: unknown.
     std::optional<engine> model;
 };
 
--- a/src/libsettings/src/setting_set.cpp
+++ b/src/libsettings/src/setting_set.cpp
@@ -1,26 +1,22 @@
 #include <medlarstall/settings/setting_set.hpp>
 
+#include <medlarstall/support/split.hpp>
+
 #include <tclap/CmdLine.h>
 
 #include <algorithm>
 #include <charconv>
 #include <memory>
-#include <sstream>
 
 namespace medlarstall::settings {
 
 namespace {
 
-std::vector<std::string> split(std::string const& text)
+std::vector<std::string> list_items(std::string_view text)
 {
-    std::vector<std::string> parts;
-    std::istringstream stream{text};
-    for (std::string part; std::getline(stream, part, ',');) {
-        if (!part.empty()) {
-            parts.push_back(part);
-        }
-    }
-    return parts;
+    auto items = split(text, ',');
+    std::erase(items, "");
+    return {items.begin(), items.end()};
 }
 
 std::string joined(std::vector<std::string> const& parts)
@@ -238,7 +234,7 @@
             if (given == nullptr) {
                 continue;
             }
-            values = one.kind == form::list ? split(given)
+            values = one.kind == form::list ? list_items(given)
                                             : std::vector<std::string>{given};
         }
         if (values.empty()) {
--- a/tests/libclaim/claim_engine_test.cpp
+++ b/tests/libclaim/claim_engine_test.cpp
@@ -7,6 +7,8 @@
 #include <nlohmann/json.hpp>
 #include <rapidcheck/boost_test.h>
 
+#include <tuple>
+
 using namespace medlarstall;
 using namespace medlarstall::claim;
 using std::chrono::milliseconds;
@@ -373,4 +375,26 @@
     BOOST_TEST(field(R"({"kind":"outcome","status":"200"})") == "status");
 }
 
+BOOST_AUTO_TEST_CASE(the_first_read_of_a_stream_does_not_wait_for_records)
+{
+    // With an empty stream, no call was decided until the read's wait of 5 s
+    // was over; one that had 5 s in all was told that its outcome is unknown.
+    claim_engine engine{{.writer = "a", .streams = 1}};
+    moment now{time_point{std::chrono::hours{1}}, day_start};
+    auto const is_waiting_read = [](actions const& todo) {
+        for (auto const& one : todo) {
+            if (auto const* read = std::get_if<read_action>(&one)) {
+                return read->waits;
+            }
+        }
+        BOOST_FAIL("nothing is read");
+        return false;
+    };
+    BOOST_TEST(!is_waiting_read(engine.start(now)));
+    std::ignore = engine.read_failed(0, now);
+    now.steady += std::chrono::seconds{30};
+    BOOST_TEST(!is_waiting_read(engine.tick(now)));
+    BOOST_TEST(is_waiting_read(engine.records({.stream = 0}, now)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/libroutes/route_table_test.cpp
+++ b/tests/libroutes/route_table_test.cpp
@@ -26,7 +26,7 @@
                       make_route("b.example", "/")};
     content.organisations = {{"small", {"key-1", "key-2"}, std::nullopt},
                              {"large", {"key-3"}, 1}};
-    content.services = {{"s", "/healthz", 10, std::nullopt}};
+    content.services = {{"s", "/healthz", std::nullopt}};
     return route_table{content};
 }
 
