--- a/tests/libanswer/main.cpp
+++ /dev/null
@@ -1,2 +0,0 @@
-#define BOOST_TEST_MODULE libanswer
-#include <boost/test/unit_test.hpp>
--- a/tests/libplacement/main.cpp
+++ /dev/null
@@ -1,2 +0,0 @@
-#define BOOST_TEST_MODULE libplacement
-#include <boost/test/unit_test.hpp>
