--- a/scripts/lost_credit.py
+++ b/scripts/lost_credit.py
@@ -30,7 +30,8 @@
                    "--report", str(report), "--why", WHY]
         if seed:
             command += ["--seed", str(seed)]
-        output = subprocess.run(command, capture_output=True, text=True,
+        output = subprocess.run(command, stdout=subprocess.PIPE,
+                                stderr=subprocess.STDOUT, text=True,
                                 check=False).stdout
         return json.loads(report.read_text()), output.splitlines()
 
--- a/src/libcli/src/command.hpp
+++ b/src/libcli/src/command.hpp
@@ -73,6 +73,7 @@
 exit_code run_drain(command_context& context);
 exit_code run_load(command_context& context);
 exit_code run_explain(command_context& context);
+exit_code run_gateway_status(command_context& context);
 
 } // namespace medlarstall::cli
 
--- a/src/libcli/src/command_line.cpp
+++ b/src/libcli/src/command_line.cpp
@@ -26,7 +26,9 @@
     command{"drain", "Stop a daemon without cutting off a request", run_drain},
     command{"load", "Drive load and report the latencies by class", run_load},
     command{"explain", "Print what daemons logged about a request",
-            run_explain}};
+            run_explain},
+    command{"gateway status", "Print what gateways have in force and believe",
+            run_gateway_status}};
 
 void print_help(std::ostream& out)
 {
--- a/src/libcli/src/member_commands.cpp
+++ b/src/libcli/src/member_commands.cpp
@@ -1,4 +1,5 @@
 #include "command.hpp"
+#include "json_table.hpp"
 
 #include <medlarstall/cli/text_table.hpp>
 
@@ -30,35 +31,11 @@
     return read_settings(context, set);
 }
 
-/// \return the member as text without quotes, "-" if it is absent
-std::string cell(json const& object, char const* key)
-{
-    auto const found = object.find(key);
-    if (found == object.end() || found->is_null()) {
-        return "-";
-    }
-    return found->is_string() ? found->get<std::string>() : found->dump();
-}
-
 std::string percent(json const& object, char const* key)
 {
     return fixed(object.value(key, 0.0) * hundred, 1) + "%";
 }
 
-/// Makes a table with a row for each object and a column for each key.
-std::string table_of(json const& objects, std::vector<char const*> const& keys)
-{
-    text_table table{{keys.begin(), keys.end()}};
-    for (auto const& object : objects) {
-        text_table::row cells;
-        for (auto const* key : keys) {
-            cells.push_back(cell(object, key));
-        }
-        table.add(std::move(cells));
-    }
-    return table.text();
-}
-
 std::string shares_text(json const& answer)
 {
     text_table table{{"organisation", "entitled", "served", "tokens", "class",
--- a/src/libgateway/src/gateway_requests.cpp
+++ b/src/libgateway/src/gateway_requests.cpp
@@ -200,23 +200,6 @@
     return answer;
 }
 
-http::response gateway::status_answer() const
-{
-    std::string body = "{\"daemon\":\"" + settings_.name + "\"";
-    auto const add = [&body](char const* name, std::uint64_t value) {
-        body += ",\"" + std::string{name} + "\":" + std::to_string(value);
-    };
-    add("ready", is_ready() ? 1 : 0);
-    add("configuration", table_ ? table_->version() : 0);
-    add("backend_servers", dispatcher_.listed().all().size());
-    add("list_offset", servers_follower_->offset());
-    add("live_peers", members_.live(decision_clock::now()).size());
-    add("requests", requests_.size());
-    http::response answer{{200, {}, {}}, body + "}\n"};
-    answer.head.headers.add("Content-Type", "application/json");
-    return answer;
-}
-
 void gateway::set_gauges()
 {
     auto const now = decision_clock::now();
--- a/tests/libcli/command_line_test.cpp
+++ b/tests/libcli/command_line_test.cpp
@@ -246,4 +246,30 @@
     BOOST_TEST(json::parse(cut.out)["streams"][2]["cut"] == runs);
 }
 
+BOOST_AUTO_TEST_CASE(shows_what_gateways_believe)
+{
+    json const status{
+        {"daemon", "edge-1"},
+        {"ready", true},
+        {"configuration", 7},
+        {"backend_servers",
+         {{{"id", "i-1"}, {"health", "suspect"}, {"in_flight", 3}}}},
+        {"peers", {{{"daemon", "edge-2"}, {"news_age_ms", 120}}}}};
+    threaded_standin<scripted_daemon> daemon{
+        answers{{"GET /v1/status", {200, status}}}};
+    auto const server =
+        "127.0.0.1:" + std::to_string(daemon.call(
+                           [](scripted_daemon& one) { return one.port(); }));
+    auto const got = run("gateway", "status", "--server", server);
+    BOOST_TEST((got.code == exit_code::success));
+    for (auto const* const text : {"edge-1", "suspect", "edge-2", "120"}) {
+        BOOST_TEST(got.out.find(text) != std::string::npos, text);
+    }
+    auto const as_json = run("gateway", "status", "--server", server, "--json");
+    BOOST_TEST((json::parse(as_json.out) == json::array({status})));
+    auto const nobody = run("gateway", "status", "--server", "127.0.0.1:1");
+    BOOST_TEST((nobody.code == exit_code::unreachable));
+    BOOST_TEST(!nobody.log.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/libgateway/gateway_test.cpp
+++ b/tests/libgateway/gateway_test.cpp
@@ -4,6 +4,7 @@
 #include "gateway_world.hpp"
 
 #include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
 
 using namespace medlarstall;
 using platform_standins::behaviour;
@@ -247,6 +248,25 @@
     BOOST_TEST(world.servers[0]->runs().size() == before);
 }
 
+BOOST_AUTO_TEST_CASE(the_status_tells_of_each_backend_server_and_peer)
+{
+    ready_world world{2};
+    auto const answer =
+        world.get(world.gateways[0]->settings().peer_address, "/v1/status");
+    BOOST_TEST(answer.status == 200);
+    auto const status = nlohmann::json::parse(answer.body);
+    BOOST_TEST(status.at("ready") == true);
+    BOOST_TEST(status.at("store_reachable") == true);
+    BOOST_REQUIRE(status.at("backend_servers").size() == 2U);
+    auto const& server = status.at("backend_servers").at(0);
+    BOOST_TEST(server.at("health") == "up");
+    BOOST_TEST(server.at("draining") == false);
+    BOOST_TEST(server.at("in_flight") == 0);
+    for (auto const& peer : status.at("peers")) {
+        BOOST_TEST(peer.at("news_age_ms") >= 0);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(a_newer_configuration_takes_over_and_an_older_does_not)
 {
     ready_world world{1};
