--- a/src/libbackend/src/curl_multi.cpp
+++ b/src/libbackend/src/curl_multi.cpp
@@ -66,11 +66,13 @@
     if (multi_ == nullptr) {
         return;
     }
-    for (auto const& [id, running] : transfers_) {
+    // What handlers hold may cancel other transfers when it is destroyed.
+    auto closing = std::exchange(transfers_, {});
+    for (auto const& [id, running] : closing) {
         running->forget_handlers();
         curl_multi_remove_handle(multi_, running->handle());
     }
-    transfers_.clear();
+    closing.clear();
     for (auto* const handle : std::exchange(spare_handles_, {})) {
         curl_easy_cleanup(handle);
     }
--- a/tests/libbackend/http_client_test.cpp
+++ b/tests/libbackend/http_client_test.cpp
@@ -58,6 +58,36 @@
 
 BOOST_FIXTURE_TEST_SUITE(http_client_suite, fixture)
 
+BOOST_AUTO_TEST_CASE(handlers_may_cancel_others_when_the_client_goes)
+{
+    // A daemon that ended with open orders wrote to memory that it had given
+    // back: the end of one order cancelled the transfer of the next.
+    struct canceller
+    {
+        http_client* client;
+        std::vector<transfer_id> const* all;
+        ~canceller()
+        {
+            for (auto const id : *all) {
+                client->cancel(id);
+            }
+        }
+    };
+    std::vector<transfer_id> all;
+    std::optional<http_client> closing{std::in_place, io,
+                                       http_client_settings{}};
+    for (char key = 'a'; key < 'q'; ++key) {
+        auto held = std::make_shared<canceller>(&*closing, &all);
+        transfer_handlers handlers;
+        handlers.on_data = [held](std::string_view) {
+        };
+        auto const id = closing->start(request({key}, true), handlers);
+        all.push_back(id);
+    }
+    closing.reset();
+    BOOST_TEST(all.size() == 16U);
+}
+
 BOOST_AUTO_TEST_CASE(starts_a_transfer_from_within_a_handler)
 {
     bool second_done = false;
