--- a/src/libdispatch/include/medlarstall/dispatch/dispatcher.hpp
+++ b/src/libdispatch/include/medlarstall/dispatch/dispatcher.hpp
@@ -2,6 +2,7 @@
 #define MEDLARSTALL_DISPATCH_DISPATCHER_HPP
 
 #include <medlarstall/dispatch/crash_ledger.hpp>
+#include <medlarstall/dispatch/fleet_cells.hpp>
 #include <medlarstall/dispatch/listed_servers.hpp>
 #include <medlarstall/dispatch/part_cache.hpp>
 #include <medlarstall/dispatch/placement_cost.hpp>
@@ -106,6 +107,10 @@
     /// \param settings place and bounds
     void set_settings(dispatcher_settings settings);
 
+    /// Sets which part of a large fleet this daemon belongs to.
+    /// \param cell the part
+    void set_cell(fleet_cell cell);
+
     /// Sets the configuration that tells the services.
     /// \param table configuration in force
     void set_routes(std::shared_ptr<routes::route_table const> table);
@@ -132,7 +137,7 @@
     /// \param now current time
     /// \return the choice, or nothing if none may be used
     [[nodiscard]] std::optional<placement> choose(work const& wanted,
-                                                  time_point now) const;
+                                                  time_point now);
 
     /// Accounts for a request that is sent to its choice.
     /// \param wanted the request
@@ -247,6 +252,22 @@
         double latency_ms = 10.0;
         time_point reading_updated;
     };
+    /// A listed backend server with all that is known of it.
+    struct known_server
+    {
+        listed_servers::belief const* belief;
+        server_record const* record;
+        std::uint64_t id_hash;
+    };
+    using known_servers = std::vector<known_server>;
+
+    /// Backend servers of one service.
+    struct service_servers
+    {
+        known_servers all;
+        known_servers in_cell;
+    };
+
     /// What the choice for one request compares between backend servers.
     struct comparison
     {
@@ -254,23 +275,25 @@
         std::uint32_t most_cached = 0;
         std::uint32_t most_ready = 0;
         std::string holder; ///< Address of the one with most_ready.
-        std::map<std::string_view, std::size_t> home_ranks;
+        std::vector<server_record const*> homes; ///< The first few, in order.
     };
 
     server_record& record_of(std::string_view id);
     server_record const* find_record(std::string_view id) const;
     static double reading_share(server_record const& record, time_point now);
-    comparison compare(work const& wanted, health worst, time_point now) const;
+    static comparison compare(known_servers const& among, work const& wanted,
+                              health worst, time_point now);
     static void copy_where_possible(candidate& judged, comparison const& others,
                                     routes::service const* service);
     server_load total_load(server_record const& record, time_point now) const;
     candidate judge(listed_servers::belief const& belief,
                     server_record const& record, work const& wanted,
                     comparison const& others, time_point now) const;
-    double mean_failures(std::string_view service) const;
-    bool may_use(listed_servers::belief const& belief, work const& wanted,
-                 health worst) const;
-    std::optional<placement> choose_among(work const& wanted, health worst,
+    static bool may_use(known_server const& server, work const& wanted,
+                        health worst);
+    void divide_servers();
+    std::optional<placement> choose_among(known_servers const& among,
+                                          work const& wanted, health worst,
                                           time_point now) const;
 
     dispatcher_settings settings_;
@@ -280,6 +303,11 @@
     std::map<std::string, retry_window, std::less<>> retries_;
     crash_ledger crashes_;
     std::uint64_t starts_ = 0;
+    fleet_cell cell_;
+    std::map<std::string, service_servers, std::less<>> services_;
+    bool divided_ = false; ///< services_ is that of the list and the cell.
+    /// Backend servers at which other daemons had something in flight.
+    std::map<std::string, std::vector<std::string>> told_loads_;
 };
 
 } // namespace medlarstall::dispatch
--- a/src/libdispatch/src/dispatcher.cpp
+++ b/src/libdispatch/src/dispatcher.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <functional>
 #include <utility>
 
 namespace medlarstall::dispatch {
@@ -15,8 +14,6 @@
 constexpr std::chrono::milliseconds report_lifetime{1000};
 /// Time over which the reading of long prompts is averaged.
 constexpr milliseconds reading_memory{2000.0};
-/// Shortest part of a prompt that is worth copying.
-constexpr std::uint32_t least_copied = 1000;
 constexpr double slower_than_expected = 1.3;
 /// Until parts that another daemon has sent are taken as read.
 constexpr std::chrono::milliseconds peer_reading{1000};
@@ -24,23 +21,6 @@
 constexpr double latency_weight = 0.2;
 constexpr double least_slowness = 0.3;
 constexpr double most_slowness = 12.0;
-constexpr double tolerated_failures = 0.1; ///< Above the siblings' mean.
-
-/// Mixes two numbers into one that looks random.
-std::uint64_t mix(std::uint64_t left, std::uint64_t right)
-{
-    auto value = left ^ (right * 0x9e3779b97f4a7c15ULL);
-    value ^= value >> 31U;
-    value *= 0xbf58476d1ce4e5b9ULL;
-    return value ^ (value >> 29U);
-}
-
-/// \return 0 to 1, the same at all daemons
-double fraction(std::uint64_t value)
-{
-    constexpr double range = 18446744073709551616.0;
-    return static_cast<double>(value) / range;
-}
 
 } // namespace
 
@@ -53,6 +33,12 @@
     settings_ = std::move(settings);
 }
 
+void dispatcher::set_cell(fleet_cell cell)
+{
+    divided_ = divided_ && cell == cell_;
+    cell_ = cell;
+}
+
 void dispatcher::set_routes(std::shared_ptr<routes::route_table const> table)
 {
     table_ = std::move(table);
@@ -80,6 +66,7 @@
 {
     auto const change = list_.apply(entry, now);
     if (change == list_change::added || change == list_change::restarted) {
+        divided_ = false;
         auto& record = record_of(entry.id);
         record = {};
         record.start = ++starts_;
@@ -91,6 +78,7 @@
 {
     auto const change = list_.remove(id, now);
     if (change == list_change::removed) {
+        divided_ = false;
         records_.erase(std::string{id});
     }
     return change;
@@ -105,6 +93,7 @@
                         std::function<void(std::string const&)> const& dropped)
 {
     list_.expire(now, [&](std::string const& id) {
+        divided_ = false;
         records_.erase(id);
         dropped(id);
     });
@@ -141,172 +130,6 @@
     return record.own.reading_share * std::exp(-(age / reading_memory));
 }
 
-/// Finds how often sends fail, who keeps the prompt, and the order of homes for
-/// one that nobody keeps.
-dispatcher::comparison dispatcher::compare(work const& wanted, health worst,
-                                           time_point now) const
-{
-    comparison view;
-    view.mean_failures = mean_failures(wanted.service);
-    if (!wanted.asked || wanted.asked->parts.empty()) {
-        return view;
-    }
-    auto const first = wanted.asked->parts.front().id;
-    std::vector<std::pair<std::uint64_t, std::string_view>> homes;
-    for (auto const& [id, belief] : list_.all()) {
-        if (!may_use(belief, wanted, worst)) {
-            continue;
-        }
-        auto const cached = find_record(id)->parts.cached_tokens(*wanted.asked);
-        view.most_cached = std::max(view.most_cached, cached);
-        auto const ready =
-            find_record(id)->parts.ready_tokens(*wanted.asked, now);
-        if (ready > view.most_ready) {
-            view.most_ready = ready;
-            view.holder = belief.entry.address;
-        }
-        homes.emplace_back(mix(first, std::hash<std::string>{}(id)), id);
-    }
-    std::ranges::sort(homes, std::greater<>{});
-    for (std::size_t rank = 0; rank < homes.size(); ++rank) {
-        view.home_ranks[homes[rank].second] = rank;
-    }
-    return view;
-}
-
-double dispatcher::mean_failures(std::string_view service) const
-{
-    double sum = 0;
-    double count = 0;
-    for (auto const& [id, belief] : list_.all()) {
-        auto const* const record = find_record(id);
-        if (belief.entry.service == service && record != nullptr) {
-            sum += record->state.failure_share();
-            count += 1;
-        }
-    }
-    return count > 0 ? sum / count : 0.0;
-}
-
-/// Notes what a backend server can copy of the prompt from the holder.
-void dispatcher::copy_where_possible(candidate& judged,
-                                     comparison const& others,
-                                     routes::service const* service)
-{
-    auto const able = service != nullptr && service->model &&
-                      service->model->bytes_per_token > 0 &&
-                      service->model->link_mbps > 0;
-    auto const more = others.most_ready > judged.cached_tokens
-                          ? others.most_ready - judged.cached_tokens
-                          : 0;
-    if (!able || more < least_copied) {
-        return;
-    }
-    constexpr double bits_per_mbit = 1e6;
-    constexpr double bits_per_byte = 8.0;
-    constexpr double ms_per_s = 1e3;
-    judged.copied_tokens = more;
-    judged.copy_tokens_per_ms =
-        service->model->link_mbps * bits_per_mbit /
-        (service->model->bytes_per_token * bits_per_byte * ms_per_s);
-}
-
-candidate dispatcher::judge(listed_servers::belief const& belief,
-                            server_record const& record, work const& wanted,
-                            comparison const& others, time_point now) const
-{
-    candidate judged;
-    judged.load = total_load(record, now);
-    judged.slots = std::max(belief.entry.slots, 1U);
-    judged.slowness = record.slowness;
-    judged.latency_ms = record.latency_ms;
-    judged.other_data_centre =
-        belief.entry.data_centre != settings_.data_centre;
-    judged.excess_failures =
-        std::max(0.0, record.state.failure_share() - others.mean_failures -
-                          tolerated_failures);
-    auto const* const service =
-        table_ ? table_->find_service(wanted.service) : nullptr;
-    if (service != nullptr && service->model) {
-        judged.memory_tokens = service->model->memory_tokens;
-    }
-    if (wanted.asked && !wanted.asked->parts.empty()) {
-        judged.cached_tokens = record.parts.cached_tokens(*wanted.asked);
-        judged.cached_elsewhere = others.most_cached > judged.cached_tokens;
-        copy_where_possible(judged, others, service);
-        judged.home_rank = others.home_ranks.at(belief.entry.id);
-    }
-    return judged;
-}
-
-bool dispatcher::may_use(listed_servers::belief const& belief,
-                         work const& wanted, health worst) const
-{
-    auto const& entry = belief.entry;
-    if (entry.service != wanted.service || entry.draining) {
-        return false;
-    }
-    auto const* const record = find_record(entry.id);
-    if (record == nullptr || record->state.state() > worst) {
-        return false;
-    }
-    return std::ranges::find(wanted.excluded, entry.id) ==
-           wanted.excluded.end();
-}
-
-std::optional<placement>
-dispatcher::choose_among(work const& wanted, health worst, time_point now) const
-{
-    std::optional<placement> best;
-    std::size_t candidates = 0;
-    auto const others = compare(wanted, worst, now);
-    for (auto const& [id, belief] : list_.all()) {
-        if (!may_use(belief, wanted, worst)) {
-            continue;
-        }
-        ++candidates;
-        auto const& record = *find_record(id);
-        auto const judged = judge(belief, record, wanted, others, now);
-        auto const cost = wanted.asked ? prompt_cost(judged, *wanted.asked,
-                                                     wanted.sensitivity)
-                                       : plain_cost(judged);
-        auto const salt = mix(wanted.hash, std::hash<std::string>{}(id));
-        constexpr cost_ms tie_width = 3.0;
-        auto const jittered = cost + fraction(salt) * tie_width;
-        if (best && best->cost <= jittered) {
-            continue;
-        }
-        best = placement{
-            id,
-            belief.entry.address,
-            0,
-            jittered,
-            wanted.asked ? expected_first_event(judged, *wanted.asked) : cost,
-            judged.cached_tokens,
-            judged.copied_tokens,
-            judged.copied_tokens > 0 ? others.holder : "",
-            judged.load.in_flight,
-            record.state.state(),
-            std::chrono::duration_cast<std::chrono::milliseconds>(
-                now - belief.updated)};
-    }
-    if (best) {
-        best->candidates = candidates;
-    }
-    return best;
-}
-
-std::optional<placement> dispatcher::choose(work const& wanted,
-                                            time_point now) const
-{
-    for (auto const worst : {health::up, health::suspect, health::down}) {
-        if (auto found = choose_among(wanted, worst, now)) {
-            return found;
-        }
-    }
-    return std::nullopt;
-}
-
 ticket dispatcher::note_sent(work const& wanted, placement const& chosen,
                              time_point now)
 {
@@ -424,6 +247,9 @@
 {
     std::vector<backend_server_entry> due;
     for (auto& [id, record] : records_) {
+        if (record.state.state() == health::up) {
+            continue;
+        }
         auto const* const entry = find(id);
         if (entry != nullptr && !entry->draining &&
             record.state.take_probe(now)) {
@@ -443,15 +269,23 @@
                              std::vector<load_note> const& notes,
                              time_point now)
 {
-    for (auto& [id, record] : records_) {
-        record.peers.erase(daemon);
+    auto& told = told_loads_[daemon];
+    for (auto const& id : told) {
+        if (auto const found = records_.find(id); found != records_.end()) {
+            found->second.peers.erase(daemon);
+        }
     }
+    told.clear();
     for (auto const& note : notes) {
         auto const found = records_.find(note.backend_server);
         if (found != records_.end()) {
             found->second.peers[daemon] = {note.load, now};
+            told.push_back(note.backend_server);
         }
     }
+    if (told.empty()) {
+        told_loads_.erase(daemon);
+    }
 }
 
 void dispatcher::merge_prompt(std::string_view id, prompt const& sent,
--- a/src/libemulator/include/medlarstall/emulator/placement_strategy.hpp
+++ b/src/libemulator/include/medlarstall/emulator/placement_strategy.hpp
@@ -39,7 +39,7 @@
 /// \param now virtual time
 /// \return the choice, or nothing if the request has to wait or be refused
 [[nodiscard]] std::optional<dispatch::placement>
-choose(placement_strategy strategy, dispatch::dispatcher const& from,
+choose(placement_strategy strategy, dispatch::dispatcher& from,
        dispatch::work const& wanted, time_point now);
 
 } // namespace medlarstall::emulator
--- a/src/libemulator/src/placement_strategy.cpp
+++ b/src/libemulator/src/placement_strategy.cpp
@@ -108,7 +108,7 @@
 }
 
 std::optional<dispatch::placement> choose(placement_strategy strategy,
-                                          dispatch::dispatcher const& from,
+                                          dispatch::dispatcher& from,
                                           dispatch::work const& wanted,
                                           time_point now)
 {
--- a/src/libgateway/include/medlarstall/gateway/gateway.hpp
+++ b/src/libgateway/include/medlarstall/gateway/gateway.hpp
@@ -155,6 +155,8 @@
     void send_news(time_point now, bool urgent = false);
     peer_news make_news() const;
     void on_news(std::string const& from, std::string_view bytes);
+    void update_cell();
+    void drop_lost_members(time_point now);
     void choose_readers(time_point now);
     void fetch_from_peers(time_point now);
     void fetch(ledger which, std::string const& address);
@@ -172,6 +174,9 @@
     dispatch::dispatcher dispatcher_;
     connection_pool pool_;
     member_table members_;
+    dispatch::fleet_cell cell_;
+    std::uint64_t cell_of_change_ = 0; ///< Change of members_ that it is of.
+    std::vector<std::string> cell_addresses_; ///< Of the others in it.
     peer_link link_;
     request_context shared_;
     std::shared_ptr<routes::route_table const> table_;
@@ -197,6 +202,8 @@
     time_point last_tick_;
     std::optional<std::chrono::nanoseconds> asleep_; ///< Since the boot.
     time_point next_fetch_;
+    time_point next_lost_check_;
+    bool first_reader_ = false; ///< Of the cell, by name.
     time_point started_;
     bool learnt_parts_ = false;
     time_point next_gauges_;
--- a/src/libgateway/include/medlarstall/gateway/member_table.hpp
+++ b/src/libgateway/include/medlarstall/gateway/member_table.hpp
@@ -19,6 +19,7 @@
 {
     std::chrono::milliseconds live{2000}; ///< After the last news.
     std::chrono::seconds counted{30};     ///< In the share of budgets.
+    std::chrono::minutes lost{10};        ///< Then it is taken off the list.
 };
 
 /// The daemons of the fleet and what they have last told. Pure; owned by the
@@ -55,6 +56,9 @@
     bool merge(std::string const& address, peer_news const& news,
                time_point now);
 
+    /// \return number that grows when a daemon is added or removed
+    [[nodiscard]] std::uint64_t change() const { return change_; }
+
     /// \param address where a daemon takes news
     /// \return true if the daemon is listed
     [[nodiscard]] bool knows(std::string const& address) const;
@@ -67,9 +71,18 @@
     /// \return addresses of all daemons to tell news
     [[nodiscard]] std::vector<std::string> addresses() const;
 
+    /// \param among addresses of other daemons
     /// \param now current time
-    /// \return number of daemons that share budgets, this one included
-    [[nodiscard]] std::size_t sharing(time_point now) const;
+    /// \return number of those that share budgets with this one, which is
+    ///     included
+    [[nodiscard]] std::size_t sharing(std::vector<std::string> const& among,
+                                      time_point now) const;
+
+    /// \param among addresses of other daemons
+    /// \param now current time
+    /// \return those that have been silent for so long that they are gone
+    [[nodiscard]] std::vector<std::string>
+    lost(std::vector<std::string> const& among, time_point now) const;
 
     /// Chooses the addresses that callers should use.
     /// \param own address of this daemon, empty if it takes no callers
@@ -80,8 +93,11 @@
     entries(std::string const& own, std::size_t most, time_point now) const;
 
 private:
+    duration silence_of(std::string const& address, time_point now) const;
+
     member_settings settings_;
     std::map<std::string, member> members_;
+    std::uint64_t change_ = 0;
 };
 
 } // namespace medlarstall::gateway
--- a/src/libgateway/src/gateway.cpp
+++ b/src/libgateway/src/gateway.cpp
@@ -71,7 +71,10 @@
             log_,
             metrics_,
             translations_.protocol,
-            [this] { return members_.sharing(decision_clock::now()); },
+            [this] {
+                return cell_.count *
+                       members_.sharing(cell_addresses_, decision_clock::now());
+            },
             [this] { return servers_follower_->offset(); },
             [this](prompt_note note, bool urgent) {
                 prompts_to_tell_.push_back(std::move(note));
@@ -122,6 +125,7 @@
             members_.add(seed, now);
         }
     }
+    update_cell();
     decision_line{log_, line_kind::belief, "start"}
         .with("daemon", settings_.name)
         .with("version", MEDLARSTALL_VERSION)
--- a/src/libgateway/src/gateway_peers.cpp
+++ b/src/libgateway/src/gateway_peers.cpp
@@ -75,7 +75,10 @@
     if (prompts_to_tell_.size() > most_prompts_told) {
         prompts_to_tell_.resize(most_prompts_told);
     }
-    link_.send(members_.addresses(), encode(make_news()));
+    // Crashes are told to all: a request may come back to any daemon.
+    link_.send(crashes_to_tell_.empty() ? cell_addresses_
+                                        : members_.addresses(),
+               encode(make_news()));
     prompts_to_tell_.clear();
     crashes_to_tell_.clear();
 }
@@ -108,6 +111,50 @@
     }
 }
 
+/// Divides the fleet anew when a daemon came or went.
+void gateway::update_cell()
+{
+    if (cell_of_change_ == members_.change()) {
+        return;
+    }
+    cell_of_change_ = members_.change();
+    auto const own = text_of(settings_.peer_address);
+    auto names = members_.addresses();
+    names.push_back(own);
+    auto const before = std::exchange(cell_, dispatch::cell_of(names, own));
+    cell_addresses_ = dispatch::part_of(names, cell_);
+    std::erase(cell_addresses_, own);
+    dispatcher_.set_cell(cell_);
+    if (before != cell_) {
+        decision_line{log_, line_kind::belief, "cell"}
+            .with("daemons", names.size())
+            .with("cells", cell_.count)
+            .with("own", cell_.own)
+            .with("others", cell_addresses_.size());
+    }
+}
+
+/// Takes daemons off the list that went without saying so. One that is only
+/// cut off puts itself on it again.
+void gateway::drop_lost_members(time_point now)
+{
+    if (now < next_lost_check_ || !first_reader_ ||
+        !members_follower_->store_reachable()) {
+        return;
+    }
+    constexpr std::chrono::minutes interval{1};
+    next_lost_check_ = now + interval;
+    for (auto const& address : members_.lost(cell_addresses_, now)) {
+        decision_line{log_, line_kind::belief, "member"}
+            .with("address", address)
+            .with("present", "no")
+            .with("reason", "silent");
+        members_.remove(address);
+        translations_.store.write(ledger::members, {address, std::nullopt, 0},
+                                  [](bool) {});
+    }
+}
+
 /// A few daemons read the store all the time, in an order that mixes the data
 /// centres. If those cannot reach it, some more try, but never all.
 void gateway::choose_readers(time_point now)
@@ -123,6 +170,7 @@
         ++before;
         reading += peer->news.store_reachable ? 1 : 0;
     }
+    first_reader_ = before == 0;
     auto const eager = reading < most_readers && before < most_candidates;
     configuration_follower_->set_eager(eager);
     servers_follower_->set_eager(eager);
--- a/src/libgateway/src/gateway_upkeep.cpp
+++ b/src/libgateway/src/gateway_upkeep.cpp
@@ -75,7 +75,9 @@
     check_requests(now);
     send_probes(now);
     learn_kept_parts(now);
+    update_cell();
     choose_readers(now);
+    drop_lost_members(now);
     fetch_from_peers(now);
     send_news(now);
     log_.tick(now);
--- a/src/libgateway/src/member_table.cpp
+++ b/src/libgateway/src/member_table.cpp
@@ -9,13 +9,15 @@
 
 void member_table::add(std::string const& address, time_point now)
 {
-    members_[address].listed = now;
-    members_[address].address = address;
+    auto const [place, added] = members_.try_emplace(address);
+    place->second.listed = now;
+    place->second.address = address;
+    change_ += added ? 1 : 0;
 }
 
 void member_table::remove(std::string const& address)
 {
-    members_.erase(address);
+    change_ += members_.erase(address);
 }
 
 bool member_table::knows(std::string const& address) const
@@ -26,8 +28,10 @@
 bool member_table::merge(std::string const& address, peer_news const& news,
                          time_point now)
 {
-    auto& known = members_[address];
+    auto const [place, added] = members_.try_emplace(address);
+    auto& known = place->second;
     known.address = address;
+    change_ += added ? 1 : 0;
     auto const order = [](peer_news const& item) {
         return std::tuple{item.incarnation, item.sequence};
     };
@@ -62,15 +66,36 @@
     return found;
 }
 
-std::size_t member_table::sharing(time_point now) const
+duration member_table::silence_of(std::string const& address,
+                                  time_point now) const
 {
-    auto const counts = [&](auto const& item) {
-        auto const& member = item.second;
-        auto const last = std::max(member.heard, member.listed);
-        return now - last < settings_.counted;
+    auto const found = members_.find(address);
+    if (found == members_.end()) {
+        return duration::max();
+    }
+    return now - std::max(found->second.heard, found->second.listed);
+}
+
+std::size_t member_table::sharing(std::vector<std::string> const& among,
+                                  time_point now) const
+{
+    auto const counts = [&](std::string const& address) {
+        return silence_of(address, now) < settings_.counted;
     };
-    return 1 +
-           static_cast<std::size_t>(std::ranges::count_if(members_, counts));
+    return 1 + static_cast<std::size_t>(std::ranges::count_if(among, counts));
+}
+
+std::vector<std::string>
+member_table::lost(std::vector<std::string> const& among, time_point now) const
+{
+    std::vector<std::string> found;
+    for (auto const& address : among) {
+        if (members_.contains(address) &&
+            silence_of(address, now) >= settings_.lost) {
+            found.push_back(address);
+        }
+    }
+    return found;
 }
 
 std::vector<std::string> member_table::entries(std::string const& own,
--- a/tests/libgateway/pieces_test.cpp
+++ b/tests/libgateway/pieces_test.cpp
@@ -175,8 +175,37 @@
     member_table members;
     members.add("a", start);
     members.add("b", start);
-    BOOST_TEST(members.sharing(start) == 3U);
-    BOOST_TEST(members.sharing(start + 31s) == 1U);
+    auto const all = members.addresses();
+    BOOST_TEST(members.sharing(all, start) == 3U);
+    BOOST_TEST(members.sharing({"a"}, start) == 2U);
+    BOOST_TEST(members.sharing(all, start + 31s) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(daemons_that_went_without_a_word_are_found)
+{
+    member_table members;
+    members.add("a", start);
+    members.add("b", start);
+    members.merge("b", news_of(1, 1), start + 5min);
+    auto const all = members.addresses();
+    BOOST_TEST(members.lost(all, start + 9min).empty());
+    auto const lost = members.lost(all, start + 11min);
+    BOOST_REQUIRE(lost.size() == 1U);
+    BOOST_TEST(lost.front() == "a");
+}
+
+BOOST_AUTO_TEST_CASE(each_daemon_that_comes_or_goes_is_a_change)
+{
+    member_table members;
+    members.add("a", start);
+    auto const before = members.change();
+    members.add("a", start + 1s);
+    BOOST_TEST(members.change() == before);
+    members.merge("b", news_of(1, 1), start);
+    BOOST_TEST(members.change() > before);
+    auto const both = members.change();
+    members.remove("a");
+    BOOST_TEST(members.change() > both);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
