--- a/src/libemulator/src/emulated_fleet.cpp
+++ b/src/libemulator/src/emulated_fleet.cpp
@@ -36,8 +36,30 @@
                }},
       seen_{arrivals}, calls_(arrivals.size())
 {
-    for (std::uint32_t at = 0; at < what.daemons; ++at) {
-        daemons_.push_back({make_dispatcher(), {}});
+    make_daemons();
+}
+
+void emulated_fleet::make_daemons()
+{
+    std::vector<std::string> names;
+    for (std::uint32_t at = 0; at < what_.daemons; ++at) {
+        names.push_back("daemon-" + std::to_string(at));
+    }
+    daemons_.clear();
+    for (auto const& name : names) {
+        auto const cell = dispatch::cell_of(names, name);
+        daemons_.push_back({make_dispatcher(), {}, cell.own});
+        daemons_.back().decisions->set_cell(cell);
+    }
+}
+
+template<class Tell>
+void emulated_fleet::for_each_peer(std::size_t of, Tell tell)
+{
+    for (std::size_t at = 0; at < daemons_.size(); ++at) {
+        if (at != of && daemons_[at].cell == daemons_[of].cell) {
+            tell(*daemons_[at].decisions);
+        }
     }
 }
 
@@ -201,12 +223,9 @@
         return;
     }
     events_.after(what_.hop, [this, from, note = std::move(note)] {
-        for (std::size_t to = 0; to < daemons_.size(); ++to) {
-            if (to != from) {
-                daemons_[to].decisions->merge_prompt(note.server, note.sent,
-                                                     events_.now());
-            }
-        }
+        for_each_peer(from, [&](dispatch::dispatcher& to) {
+            to.merge_prompt(note.server, note.sent, events_.now());
+        });
     });
 }
 
@@ -369,9 +388,7 @@
             seen_.note_broken(call);
         }
     }
-    for (auto& one : daemons_) {
-        one = {make_dispatcher(), {}};
-    }
+    make_daemons();
 }
 
 void emulated_fleet::tick()
@@ -408,18 +425,12 @@
         auto notes = std::exchange(daemons_[from].untold, {});
         events_.after(what_.hop, [this, from, loads = std::move(loads),
                                   notes = std::move(notes)] {
-            for (std::size_t to = 0; to < daemons_.size(); ++to) {
-                if (to == from) {
-                    continue;
-                }
-                auto& decisions = *daemons_[to].decisions;
-                decisions.merge_loads(std::to_string(from), loads,
-                                      events_.now());
+            for_each_peer(from, [&](dispatch::dispatcher& to) {
+                to.merge_loads(std::to_string(from), loads, events_.now());
                 for (auto const& note : notes) {
-                    decisions.merge_prompt(note.server, note.sent,
-                                           events_.now());
+                    to.merge_prompt(note.server, note.sent, events_.now());
                 }
-            }
+            });
         });
     }
     events_.after(what_.news_interval, [this] { tell_news(); });
--- a/src/libemulator/src/emulated_fleet.hpp
+++ b/src/libemulator/src/emulated_fleet.hpp
@@ -68,6 +68,7 @@
     {
         std::unique_ptr<dispatch::dispatcher> decisions;
         std::vector<prompt_note> untold;
+        std::size_t cell = 0;
     };
     struct call_state
     {
@@ -87,7 +88,10 @@
 
     routes::route const& route_of(std::size_t call) const;
     dispatch::dispatcher& decisions_for(std::size_t call);
+    void make_daemons();
     std::unique_ptr<dispatch::dispatcher> make_dispatcher() const;
+    template<class Tell>
+    void for_each_peer(std::size_t of, Tell tell);
     dispatch::work work_of(std::size_t call) const;
     void ask(std::size_t call);
     void place(std::size_t call);
--- a/tests/libemulator/run_test.cpp
+++ b/tests/libemulator/run_test.cpp
@@ -128,6 +128,18 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(a_large_fleet_serves_nearly_as_well_as_a_small_one)
+{
+    // 100 daemons and 180 backend servers in cells, from a cold start.
+    auto small = load("coteau", "calm");
+    auto const large = load("coteau-large", "calm");
+    small.length = large.length;
+    auto const served =
+        run(large, placement_strategy::product, 1).total.worth();
+    BOOST_TEST(served > 0.9);
+    BOOST_TEST(served > worth(small, placement_strategy::product) - 0.05);
+}
+
 BOOST_AUTO_TEST_CASE(a_third_of_the_servers_dark_costs_a_moment_only)
 {
     auto const figures =
