--- a/scripts/lost_credit.py
+++ b/scripts/lost_credit.py
@@ -38,14 +38,15 @@
 
 def cause_of(fields):
     """Names why an answer was late or missing; None if it was neither."""
-    if fields["late"] == "first":
+    late = fields.get("late")
+    if late == "first":
         return "late: first event"
-    if fields["late"] == "pause":
+    if late == "pause":
         return "late: pause between events"
-    if fields["status"] in ("0", "502", "503", "504"):
-        return f"{fields['status']} {fields['reason']}"
-    if fields["status"].startswith("5"):
+    if fields["status"].startswith("5") and fields["reason"] == "answered":
         return "failed by the backend server"
+    if fields["status"][0] in "05":
+        return f"{fields['status']} {fields['reason']}"
     return None
 
 
@@ -57,7 +58,7 @@
             continue
         fields = dict(FIELD.findall(line))
         cause = cause_of(fields)
-        if cause and fields["reason"] != "caller_left":
+        if cause and fields.get("organisation", "\"\"") != "\"\"":
             counts[cause] += 1
     return counts
 
--- a/src/libgateway/src/forwarded_request_relay.cpp
+++ b/src/libgateway/src/forwarded_request_relay.cpp
@@ -172,6 +172,13 @@
         look_for_server();
         return;
     }
+    if (send_->mode == relay_mode::whole && caller_->begun()) {
+        // Instead of the rest of a stream.
+        shared_.pool.give_back(send_->where.backend_server, send_->connection);
+        end_send(dispatch::send_outcome::failed);
+        after_failure(dispatch::send_failure::lost, "no_stream");
+        return;
+    }
     shared_.dispatcher.crashes().note_success(fingerprint_);
     if (send_->mode == relay_mode::whole) {
         deliver_whole();
@@ -192,7 +199,7 @@
 bool forwarded_request::may_try_elsewhere()
 {
     auto const& route = *request_.route;
-    return route.kind == routes::route_kind::repeatable &&
+    return route.may_run_again() && can_go_on() &&
            attempts_.reached + 1 < route.attempts &&
            time_left(decision_clock::now()) > least_retry_time &&
            has_budget(dispatch::send_failure::lost);
--- a/tests/libgateway/gateway_test.cpp
+++ b/tests/libgateway/gateway_test.cpp
@@ -214,6 +214,39 @@
     BOOST_TEST(world.runs() == 2U);
 }
 
+/// Asks fresh worlds until one has sent a stream to its first server first,
+/// which fails. What is known of the servers is the same before each.
+caller_answer ask_failing_first(behaviour second)
+{
+    constexpr int most = 16;
+    for (int at = 0; at < most; ++at) {
+        ready_world world{2};
+        world.servers[0]->script({kind::fail});
+        world.servers[1]->script(second);
+        auto answer =
+            world.ask(0, "POST", "/resume/a", "id-" + std::to_string(at));
+        if (!world.servers[0]->runs().empty()) {
+            return answer;
+        }
+    }
+    BOOST_FAIL("the first server was never asked first");
+    return {};
+}
+
+BOOST_AUTO_TEST_CASE(a_stream_that_failed_before_its_first_event_is_begun_anew)
+{
+    auto const answer = ask_failing_first({kind::answer, 4});
+    BOOST_TEST(answer.status == 200);
+    BOOST_TEST(answer.body == events_to(4));
+}
+
+BOOST_AUTO_TEST_CASE(a_failure_at_the_resumption_does_not_look_complete)
+{
+    auto const answer = ask_failing_first({kind::cut, 3});
+    BOOST_TEST(answer.broken);
+    BOOST_TEST(answer.body == events_to(3));
+}
+
 BOOST_AUTO_TEST_CASE(a_resumed_stream_has_each_event_once)
 {
     ready_world world{2};
