--- a/src/libdispatch/include/medlarstall/dispatch/backend_server_entry.hpp
+++ b/src/libdispatch/include/medlarstall/dispatch/backend_server_entry.hpp
@@ -17,6 +17,8 @@
     bool draining = false;
     std::int64_t started_unix_ms = 0; ///< 0 if it does not say.
     std::uint64_t sequence = 0;       ///< Grows with each entry of a start.
+
+    bool operator==(backend_server_entry const&) const = default;
 };
 
 } // namespace medlarstall::dispatch
--- a/src/libgateway/include/medlarstall/gateway/gateway.hpp
+++ b/src/libgateway/include/medlarstall/gateway/gateway.hpp
@@ -128,7 +128,7 @@
     http::response status_answer() const;
 
     void on_configuration(record const& item);
-    void on_backend_server(record const& item);
+    bool on_backend_server(record const& item);
     void on_member(record const& item);
     void on_store_reachable(ledger which, bool reachable, char const* reason);
     void log_list_change(std::string const& id, dispatch::list_change change,
@@ -157,6 +157,7 @@
     void on_news(std::string const& from, std::string_view bytes);
     void update_cell();
     void drop_lost_members(time_point now);
+    bool tells_all_changes() const;
     void choose_readers(time_point now);
     void fetch_from_peers(time_point now);
     void fetch(ledger which, std::string const& address);
--- a/src/libgateway/include/medlarstall/gateway/record_follower.hpp
+++ b/src/libgateway/include/medlarstall/gateway/record_follower.hpp
@@ -27,10 +27,18 @@
     std::chrono::milliseconds longest_backoff{800};
 };
 
+/// Which changes of a ledger another daemon asks for.
+enum class change_choice
+{
+    all,
+    that_matter
+};
+
 /// What the owner of a follower is told.
 struct follow_events
 {
-    std::function<void(record const&)> changed;
+    /// \return true if it matters to other daemons
+    std::function<bool(record const&)> changed;
     std::function<void(bool, char const*)> reachable; ///< And the reason.
 };
 
@@ -66,14 +74,24 @@
     /// \param page its records
     void absorb(record_page const& page);
 
+    /// Takes in that nothing that matters stands before an offset, as another
+    /// daemon has read.
+    /// \param offset where to go on reading
+    void skip_to(std::uint64_t offset);
+
     /// \param after offset up to which the asker knows the ledger
+    /// \param which whether records that do not matter are left out
     /// \return the newest records of the keys that have changed since, or of
     ///     all keys where the changes are not known
-    [[nodiscard]] record_page changes(std::uint64_t after) const;
+    [[nodiscard]] record_page changes(std::uint64_t after,
+                                      change_choice which) const;
 
     /// \return offset up to which the ledger is known; 0 if nothing is
     [[nodiscard]] std::uint64_t offset() const { return next_.value_or(0); }
 
+    /// \return offset behind the last record that matters
+    [[nodiscard]] std::uint64_t changed_to() const { return changed_to_; }
+
     /// \return true if the last read from the store brought an answer
     [[nodiscard]] bool store_reachable() const { return reachable_; }
 
@@ -90,13 +108,23 @@
     void schedule(std::chrono::milliseconds delay);
     void set_reachable(bool reachable, char const* reason);
 
+    /// The newest record of a key, and its last change that matters.
+    struct kept_record
+    {
+        record item;
+        std::uint64_t changed = 0; ///< Offset.
+    };
+
+    void keep(kept_record& kept);
+
     ledger which_;
     record_store const& store_;
     follow_settings settings_;
     follow_events events_;
     asio::steady_timer timer_;
-    std::map<std::string, record> newest_;
+    std::map<std::string, kept_record> newest_;
     std::optional<std::uint64_t> next_;
+    std::uint64_t changed_to_ = 0;
     std::uint64_t complete_from_ = 0; ///< Every change since is known.
     std::chrono::milliseconds backoff_;
     time_point read_at_;
--- a/src/libgateway/src/gateway.cpp
+++ b/src/libgateway/src/gateway.cpp
@@ -34,6 +34,17 @@
     return settings;
 }
 
+std::optional<dispatch::backend_server_entry>
+entry_without_sequence(dispatch::backend_server_entry const* entry)
+{
+    if (entry == nullptr) {
+        return std::nullopt;
+    }
+    auto copy = *entry;
+    copy.sequence = 0;
+    return copy;
+}
+
 std::uint64_t start_number()
 {
     auto const now = std::chrono::system_clock::now().time_since_epoch();
@@ -155,12 +166,18 @@
     };
     configuration_follower_ =
         make(ledger::configuration, configuration_reading(),
-             [this](record const& item) { on_configuration(item); });
+             [this](record const& item) {
+                 on_configuration(item);
+                 return true;
+             });
     servers_follower_ =
         make(ledger::backend_servers, servers_reading(),
-             [this](record const& item) { on_backend_server(item); });
-    members_follower_ = make(ledger::members, members_reading(),
-                             [this](record const& item) { on_member(item); });
+             [this](record const& item) { return on_backend_server(item); });
+    members_follower_ =
+        make(ledger::members, members_reading(), [this](record const& item) {
+            on_member(item);
+            return true;
+        });
     configuration_follower_->start();
     servers_follower_->start();
     members_follower_->start();
@@ -254,10 +271,12 @@
                        limits.head_timeout, limits.idle_timeout});
 }
 
-void gateway::on_backend_server(record const& item)
+/// \return true if more has changed than the number of the entry
+bool gateway::on_backend_server(record const& item)
 {
     auto const now = decision_clock::now();
     auto change = dispatch::list_change::none;
+    auto const before = entry_without_sequence(dispatcher_.find(item.key));
     if (item.value) {
         auto const entry =
             translations_.read_backend_server(item.key, *item.value);
@@ -274,6 +293,9 @@
         change = dispatcher_.remove(item.key, now);
     }
     log_list_change(item.key, change, item.offset);
+    return change != dispatch::list_change::none &&
+           (change != dispatch::list_change::updated ||
+            before != entry_without_sequence(dispatcher_.find(item.key)));
 }
 
 void gateway::log_list_change(std::string const& id,
--- a/src/libgateway/src/gateway_peers.cpp
+++ b/src/libgateway/src/gateway_peers.cpp
@@ -20,6 +20,7 @@
 constexpr std::size_t most_prompts_told = 24;
 /// Daemons that read the store all the time.
 constexpr std::size_t most_readers = 5;
+constexpr std::size_t most_readers_of_cell = 2; ///< If there are several.
 /// Daemons that try while the store cannot be reached.
 constexpr std::size_t most_candidates = 12;
 
@@ -53,6 +54,9 @@
     news.store_reachable = servers_follower_->store_reachable();
     news.configuration_offset = configuration_follower_->offset();
     news.servers_offset = servers_follower_->offset();
+    news.servers_changed = tells_all_changes()
+                               ? news.servers_offset
+                               : servers_follower_->changed_to();
     news.loads = dispatcher_.own_loads(news_sent_);
     news.prompts = prompts_to_tell_;
     news.crashes = crashes_to_tell_;
@@ -155,6 +159,13 @@
     }
 }
 
+/// Backend servers write their entries again and again. In a fleet of several
+/// cells only what changes of them is told on.
+bool gateway::tells_all_changes() const
+{
+    return cell_.count == 1;
+}
+
 /// A few daemons read the store all the time, in an order that mixes the data
 /// centres. If those cannot reach it, some more try, but never all.
 void gateway::choose_readers(time_point now)
@@ -171,7 +182,8 @@
         reading += peer->news.store_reachable ? 1 : 0;
     }
     first_reader_ = before == 0;
-    auto const eager = reading < most_readers && before < most_candidates;
+    auto const enough = cell_.count == 1 ? most_readers : most_readers_of_cell;
+    auto const eager = reading < enough && before < most_candidates;
     configuration_follower_->set_eager(eager);
     servers_follower_->set_eager(eager);
 }
@@ -188,7 +200,12 @@
             fetch(ledger::configuration, peer->address);
             return;
         }
-        if (news.servers_offset > servers_follower_->offset()) {
+        if (news.servers_offset <= servers_follower_->offset()) {
+            continue;
+        }
+        if (news.servers_changed <= servers_follower_->offset()) {
+            servers_follower_->skip_to(news.servers_offset);
+        } else {
             next_fetch_ = now + fetch_interval;
             fetch(ledger::backend_servers, peer->address);
             return;
--- a/src/libgateway/src/gateway_requests.cpp
+++ b/src/libgateway/src/gateway_requests.cpp
@@ -191,9 +191,12 @@
     http::response answer{{200, {}, {}}, {}};
     answer.head.headers.add("Content-Type", "application/cbor");
     if (name == name_of(ledger::configuration)) {
-        answer.body = encode(configuration_follower_->changes(after));
+        answer.body =
+            encode(configuration_follower_->changes(after, change_choice::all));
     } else if (name == name_of(ledger::backend_servers)) {
-        answer.body = encode(servers_follower_->changes(after));
+        answer.body = encode(servers_follower_->changes(
+            after, tells_all_changes() ? change_choice::all
+                                       : change_choice::that_matter));
     } else {
         answer.head.status = not_found;
     }
--- a/src/libgateway/src/peer_news.cpp
+++ b/src/libgateway/src/peer_news.cpp
@@ -81,6 +81,7 @@
     news.store_reachable = value.at("s").get<bool>();
     news.configuration_offset = value.at("c").get<std::uint64_t>();
     news.servers_offset = value.at("b").get<std::uint64_t>();
+    news.servers_changed = value.value("m", news.servers_offset);
     for (auto const& item : value.at("l")) {
         news.loads.push_back(read_load(item));
     }
@@ -141,6 +142,7 @@
                     {"s", news.store_reachable},
                     {"c", news.configuration_offset},
                     {"b", news.servers_offset},
+                    {"m", news.servers_changed},
                     {"l", write_all(news.loads, write_load)},
                     {"p", write_all(news.prompts, write_prompt)},
                     {"x", write_all(news.crashes, crash)}});
--- a/src/libgateway/src/record_follower.cpp
+++ b/src/libgateway/src/record_follower.cpp
@@ -131,18 +131,37 @@
     if (page.whole) {
         take_missing(page, page.next_offset);
         complete_from_ = std::max(complete_from_, page.next_offset);
+        // What was removed before is not known: it may matter.
+        changed_to_ = std::max(changed_to_, page.next_offset);
     }
     next_ = std::max(known_to, page.next_offset);
 }
 
+void record_follower::skip_to(std::uint64_t offset)
+{
+    if (next_ && offset > *next_) {
+        next_ = offset;
+        read_at_ = decision_clock::now();
+    }
+}
+
+/// Tells the owner of a new record, and notes whether it matters.
+void record_follower::keep(kept_record& kept)
+{
+    if (events_.changed(kept.item)) {
+        kept.changed = kept.item.offset;
+        changed_to_ = std::max(changed_to_, kept.changed + 1);
+    }
+}
+
 void record_follower::take_record(record const& item)
 {
-    auto const known = newest_.find(item.key);
-    if (known != newest_.end() && item.offset <= known->second.offset) {
+    auto const [known, added] = newest_.try_emplace(item.key);
+    if (!added && item.offset <= known->second.item.offset) {
         return;
     }
-    newest_[item.key] = item;
-    events_.changed(item);
+    known->second.item = item;
+    keep(known->second);
 }
 
 void record_follower::take_missing(record_page const& page,
@@ -152,24 +171,29 @@
     for (auto const& item : page.records) {
         named.insert(item.key);
     }
-    for (auto& [key, item] : newest_) {
+    for (auto& [key, kept] : newest_) {
+        auto& item = kept.item;
         if (item.value && item.offset < known_to && !named.contains(key)) {
             item.value.reset();
             item.offset = known_to - 1;
-            events_.changed(item);
+            keep(kept);
         }
     }
 }
 
-record_page record_follower::changes(std::uint64_t after) const
+record_page record_follower::changes(std::uint64_t after,
+                                     change_choice which) const
 {
     record_page page;
     page.next_offset = offset();
     // Of what was removed before the whole read nothing is known here.
     page.whole = after < complete_from_;
-    for (auto const& [key, item] : newest_) {
-        if (page.whole ? item.value.has_value() : item.offset >= after) {
-            page.records.push_back(item);
+    for (auto const& [key, kept] : newest_) {
+        auto const since = which == change_choice::that_matter
+                               ? kept.changed
+                               : kept.item.offset;
+        if (page.whole ? kept.item.value.has_value() : since >= after) {
+            page.records.push_back(kept.item);
         }
     }
     return page;
--- a/tests/libgateway/record_follower_test.cpp
+++ b/tests/libgateway/record_follower_test.cpp
@@ -36,11 +36,16 @@
         };
         follow_events events;
         events.changed = [this](record const& item) {
+            auto const before = known.find(item.key);
+            auto const matters = before == known.end()
+                                     ? item.value.has_value()
+                                     : item.value != before->second;
             if (item.value) {
                 known[item.key] = *item.value;
             } else {
                 known.erase(item.key);
             }
+            return matters;
         };
         events.reachable = [this](bool now, char const*) {
             reachable = now;
@@ -130,7 +135,8 @@
     BOOST_TEST(world.follower->offset() == 6U);
     world.follower->absorb(page({{"a", "0", 2}}, 5));
     BOOST_TEST(world.known.at("a") == "2");
-    BOOST_TEST(world.follower->changes(5).records.size() == 1U);
+    BOOST_TEST(world.follower->changes(5, change_choice::all).records.size() ==
+               1U);
 }
 
 BOOST_AUTO_TEST_CASE(a_daemon_that_has_just_started_hands_on_removals)
@@ -141,7 +147,7 @@
     old_one.answer(page({{"a", "1", 3}, {"b", "1", 4}}, 5, true));
     scripted_store new_one;
     new_one.answer(page({{"b", "1", 4}}, 6, true)); // "a" was removed at 5.
-    auto const bytes = encode(new_one.follower->changes(5));
+    auto const bytes = encode(new_one.follower->changes(5, change_choice::all));
     auto const read = decode_page(bytes);
     BOOST_REQUIRE(!medlarstall::failed(read));
     old_one.follower->absorb(medlarstall::value_of(read));
@@ -149,4 +155,45 @@
     BOOST_TEST(old_one.known.contains("b"));
 }
 
+BOOST_AUTO_TEST_CASE(only_what_matters_is_told_on_in_a_large_fleet)
+{
+    // At 300 machines each daemon sent its peers 3,000 entries, over and over,
+    // of which only a sequence number had changed.
+    scripted_store world;
+    world.answer(page({{"a", "1", 3}, {"b", "1", 4}}, 5, true));
+    BOOST_TEST(world.follower->changed_to() == 5U);
+    world.answer(page({{"a", "1", 5}, {"b", "1", 6}}, 7));
+    BOOST_TEST(world.follower->changed_to() == 5U);
+    BOOST_TEST(world.follower->offset() == 7U);
+    auto const count = [&world](change_choice which) {
+        return world.follower->changes(5, which).records.size();
+    };
+    BOOST_TEST(count(change_choice::all) == 2U);
+    BOOST_TEST(count(change_choice::that_matter) == 0U);
+    world.answer(page({{"b", "2", 7}, {"a", std::nullopt, 8}}, 9));
+    BOOST_TEST(world.follower->changed_to() == 9U);
+    BOOST_TEST(count(change_choice::that_matter) == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(after_a_whole_read_anything_before_may_matter)
+{
+    // A removal that was never seen must not be skipped by others.
+    scripted_store world;
+    world.answer(page({{"b", "1", 4}}, 9, true)); // "a" was removed at 5.
+    BOOST_TEST(world.follower->changed_to() == 9U);
+}
+
+BOOST_AUTO_TEST_CASE(a_daemon_goes_on_behind_what_does_not_matter)
+{
+    scripted_store world;
+    world.answer(page({{"a", "1", 3}}, 4, true));
+    world.follower->skip_to(9);
+    BOOST_TEST(world.follower->offset() == 9U);
+    world.follower->skip_to(6);
+    BOOST_TEST(world.follower->offset() == 9U);
+    scripted_store unread;
+    unread.follower->skip_to(9); // Knows nothing yet: it must read.
+    BOOST_TEST(unread.follower->offset() == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
