--- a/scripts/lost_credit.py
+++ b/scripts/lost_credit.py
@@ -58,7 +58,9 @@
             continue
         fields = dict(FIELD.findall(line))
         cause = cause_of(fields)
-        if cause and fields.get("organisation", "\"\"") != "\"\"":
+        # Without an organisation it is one of the bench's own looks.
+        counted = fields.get("organisation", '""') != '""'
+        if cause and counted and fields["reason"] != "caller_left":
             counts[cause] += 1
     return counts
 
