--- a/src/libgateway/include/medlarstall/gateway/gateway.hpp
+++ b/src/libgateway/include/medlarstall/gateway/gateway.hpp
@@ -158,7 +158,6 @@
     void update_cell();
     void drop_lost_members(time_point now);
     bool tells_all_changes() const;
-    bool would_send_whole_list(peer_news const& news) const;
     void choose_readers(time_point now);
     void fetch_from_peers(time_point now);
     void fetch(ledger which, std::string const& address);
--- a/src/libgateway/include/medlarstall/gateway/peer_news.hpp
+++ b/src/libgateway/include/medlarstall/gateway/peer_news.hpp
@@ -30,8 +30,7 @@
     bool store_reachable = false;
     std::uint64_t configuration_offset = 0;
     std::uint64_t servers_offset = 0;
-    std::uint64_t servers_changed = 0;  ///< Behind what matters of them.
-    std::uint64_t servers_complete = 0; ///< From here on every change is known.
+    std::uint64_t servers_changed = 0; ///< Behind what matters of them.
     std::vector<dispatch::load_note> loads;
     std::vector<prompt_note> prompts;
     std::vector<dispatch::crash_note> crashes;
--- a/src/libgateway/include/medlarstall/gateway/record_follower.hpp
+++ b/src/libgateway/include/medlarstall/gateway/record_follower.hpp
@@ -92,9 +92,6 @@
     /// \return offset behind the last record that matters
     [[nodiscard]] std::uint64_t changed_to() const { return changed_to_; }
 
-    /// \return offset from which on every change is known
-    [[nodiscard]] std::uint64_t complete_from() const { return complete_from_; }
-
     /// \return true if the last read from the store brought an answer
     [[nodiscard]] bool store_reachable() const { return reachable_; }
 
--- a/src/libgateway/src/gateway_peers.cpp
+++ b/src/libgateway/src/gateway_peers.cpp
@@ -57,7 +57,6 @@
     news.servers_changed = tells_all_changes()
                                ? news.servers_offset
                                : servers_follower_->changed_to();
-    news.servers_complete = servers_follower_->complete_from();
     news.loads = dispatcher_.own_loads(news_sent_);
     news.prompts = prompts_to_tell_;
     news.crashes = crashes_to_tell_;
@@ -206,27 +205,14 @@
         }
         if (news.servers_changed <= servers_follower_->offset()) {
             servers_follower_->skip_to(news.servers_offset);
-            continue;
-        }
-        next_fetch_ = now + fetch_interval;
-        if (would_send_whole_list(news)) {
-            servers_follower_->read_now();
         } else {
+            next_fetch_ = now + fetch_interval;
             fetch(ledger::backend_servers, peer->address);
+            return;
         }
-        return;
     }
 }
 
-/// In a fleet of several cells the list is long, and a daemon that has read it
-/// once itself goes on reading rather than have a peer send all of it again.
-bool gateway::would_send_whole_list(peer_news const& news) const
-{
-    auto const known = servers_follower_->offset();
-    return cell_.count > 1 && known > 0 && known < news.servers_complete &&
-           servers_follower_->store_reachable();
-}
-
 void gateway::fetch(ledger which, std::string const& address)
 {
     auto const endpoint = parse_endpoint(address);
--- a/src/libgateway/src/peer_news.cpp
+++ b/src/libgateway/src/peer_news.cpp
@@ -82,7 +82,6 @@
     news.configuration_offset = value.at("c").get<std::uint64_t>();
     news.servers_offset = value.at("b").get<std::uint64_t>();
     news.servers_changed = value.value("m", news.servers_offset);
-    news.servers_complete = value.value("w", std::uint64_t{0});
     for (auto const& item : value.at("l")) {
         news.loads.push_back(read_load(item));
     }
@@ -144,7 +143,6 @@
                     {"c", news.configuration_offset},
                     {"b", news.servers_offset},
                     {"m", news.servers_changed},
-                    {"w", news.servers_complete},
                     {"l", write_all(news.loads, write_load)},
                     {"p", write_all(news.prompts, write_prompt)},
                     {"x", write_all(news.crashes, crash)}});
--- a/tests/libgateway/record_follower_test.cpp
+++ b/tests/libgateway/record_follower_test.cpp
@@ -181,9 +181,6 @@
     scripted_store world;
     world.answer(page({{"b", "1", 4}}, 9, true)); // "a" was removed at 5.
     BOOST_TEST(world.follower->changed_to() == 9U);
-    BOOST_TEST(world.follower->complete_from() == 9U);
-    BOOST_TEST(world.follower->changes(8, change_choice::that_matter).whole);
-    BOOST_TEST(!world.follower->changes(9, change_choice::that_matter).whole);
 }
 
 BOOST_AUTO_TEST_CASE(a_daemon_goes_on_behind_what_does_not_matter)
