--- a/src/libdispatch/src/fleet_cells.cpp
+++ b/src/libdispatch/src/fleet_cells.cpp
@@ -8,8 +8,8 @@
 
 namespace {
 
-constexpr std::size_t most_daemons = 48;  ///< Of a cell.
-constexpr std::size_t least_servers = 16; ///< Of a service in a cell.
+constexpr std::size_t most_daemons = 64;  ///< Of a cell.
+constexpr std::size_t least_servers = 32; ///< Of a service in a cell.
 
 void sort_by_hash(std::vector<std::string>& names)
 {
--- a/src/libemulator/src/emulated_fleet.cpp
+++ b/src/libemulator/src/emulated_fleet.cpp
@@ -41,6 +41,7 @@
 void emulated_fleet::make_daemons()
 {
     std::vector<std::string> names;
+    names.reserve(what_.daemons);
     for (std::uint32_t at = 0; at < what_.daemons; ++at) {
         names.push_back("daemon-" + std::to_string(at));
     }
@@ -348,6 +349,7 @@
 void emulated_fleet::restart_daemons()
 {
     std::vector<std::uint64_t> open;
+    open.reserve(sends_.size());
     for (auto const& [number, state] : sends_) {
         open.push_back(number);
     }
--- a/src/libemulator/src/emulated_servers.cpp
+++ b/src/libemulator/src/emulated_servers.cpp
@@ -5,7 +5,7 @@
 namespace medlarstall::emulator {
 
 emulated_servers::emulated_servers(event_queue& events, experiment const& from,
-                                   model_server::listener on_event)
+                                   model_server::listener const& on_event)
 {
     for (auto const& service : from.services) {
         for (std::uint32_t number = 0; number < service.servers; ++number) {
--- a/src/libemulator/src/emulated_servers.hpp
+++ b/src/libemulator/src/emulated_servers.hpp
@@ -33,7 +33,7 @@
     /// \param from the experiment
     /// \param on_event told each event of each answer
     emulated_servers(event_queue& events, experiment const& from,
-                     model_server::listener on_event);
+                     model_server::listener const& on_event);
 
     /// \return all entries of the list
     [[nodiscard]] std::vector<dispatch::backend_server_entry> const&
--- a/src/libemulator/src/experiment.cpp
+++ b/src/libemulator/src/experiment.cpp
@@ -122,7 +122,8 @@
     return made;
 }
 
-service_settings read_service(nlohmann::json const& value, std::string path,
+service_settings read_service(nlohmann::json const& value,
+                              std::string const& path,
                               std::optional<error>& failure)
 {
     service_settings made;
@@ -272,10 +273,11 @@
     reader.read("wave_phase", made.wave_phase, {0, 1});
     reader.read("hop_ms", made.hop, {0ms, longest});
     reader.read("news_interval_ms", made.news_interval, {1ms, longest});
-    reader.each("services", most_items, [&](auto const& item, auto path) {
-        made.services.push_back(read_service(item, path, failure));
-    });
-    reader.each("classes", most_items, [&](auto const& item, auto path) {
+    reader.each("services", most_items,
+                [&](auto const& item, auto const& path) {
+                    made.services.push_back(read_service(item, path, failure));
+                });
+    reader.each("classes", most_items, [&](auto const& item, auto const& path) {
         made.classes.push_back(read_class(item, path, failure));
     });
     reader.finish();
@@ -292,9 +294,10 @@
     reader.require("name");
     reader.read("name", name, text_form::name);
     reader.read("factor", factor, {0.01, most_factor});
-    reader.each("troubles", most_items, [&](auto const& item, auto path) {
-        at.troubles.push_back(read_trouble(item, path, failure));
-    });
+    reader.each("troubles", most_items,
+                [&](auto const& item, auto const& path) {
+                    at.troubles.push_back(read_trouble(item, path, failure));
+                });
     reader.finish();
     at.name += " " + name;
     for (auto& kind : at.classes) {
--- a/src/libemulator/src/figures.cpp
+++ b/src/libemulator/src/figures.cpp
@@ -108,10 +108,12 @@
 {
     gathered_group total{{"all"}, {}};
     std::vector<gathered_group> classes;
+    classes.reserve(from.classes.size());
     for (auto const& kind : from.classes) {
         classes.push_back({{kind.name}, {}});
     }
     std::vector<gathered_group> organisations;
+    organisations.reserve(from.organisations);
     for (std::uint32_t at = 0; at < from.organisations; ++at) {
         organisations.push_back({{"organisation-" + std::to_string(at)}, {}});
     }
--- a/src/libemulator/src/workload.cpp
+++ b/src/libemulator/src/workload.cpp
@@ -81,11 +81,12 @@
     {
         auto const most = most_rate();
         std::exponential_distribution<double> pause{most};
-        for (double at = pause(random_); at < from_.length.count();
-             at += pause(random_)) {
-            if (draw_unit(random_) * most < rate(seconds{at})) {
-                arrivals.push_back(make(seconds{at}));
+        auto at = seconds{pause(random_)};
+        while (at < from_.length) {
+            if (draw_unit(random_) * most < rate(at)) {
+                arrivals.push_back(make(at));
             }
+            at += seconds{pause(random_)};
         }
     }
 
--- a/src/libgateway/src/gateway_status.cpp
+++ b/src/libgateway/src/gateway_status.cpp
@@ -69,6 +69,7 @@
         {"list_offset", servers_follower_->offset()},
         {"store_reachable", servers_follower_->store_reachable()},
         {"requests", requests_.size()},
+        {"cell", {{"own", cell_.own}, {"count", cell_.count}}},
         {"peers", peers_json(members_.live(now), now)},
         {"backend_servers", servers_json(dispatcher_, now)}};
     http::response answer{{200, {}, {}}, {}};
--- a/tests/libgateway/gateway_test.cpp
+++ b/tests/libgateway/gateway_test.cpp
@@ -300,6 +300,25 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(a_daemon_of_a_large_fleet_serves_in_its_cell)
+{
+    gateway_world world{2};
+    world.configure(1);
+    std::vector<std::string> others;
+    for (int at = 1; at < 100; ++at) {
+        others.push_back("127.0.1." + std::to_string(at) + ":9");
+    }
+    constexpr std::chrono::milliseconds grace{4000};
+    world.add_gateway(grace, others);
+    BOOST_REQUIRE(world.wait_ready(0));
+    auto const answer =
+        world.get(world.gateways[0]->settings().peer_address, "/v1/status");
+    auto const status = nlohmann::json::parse(answer.body);
+    BOOST_TEST(status.at("cell").at("count") == 2);
+    BOOST_TEST(status.at("cell").at("own") < 2);
+    BOOST_TEST(world.ask(0, "GET", "/safe/a", "id-1").status == 200);
+}
+
 BOOST_AUTO_TEST_CASE(a_newer_configuration_takes_over_and_an_older_does_not)
 {
     ready_world world{1};
