--- a/src/libgateway/include/medlarstall/gateway/fetch_turns.hpp
+++ b/src/libgateway/include/medlarstall/gateway/fetch_turns.hpp
@@ -33,7 +33,7 @@
 private:
     std::uint64_t turn_;
     bool running_ = false;
-    time_point not_before_{};
+    time_point not_before_;
 };
 
 } // namespace medlarstall::gateway
