--- a/src/libgateway/include/medlarstall/gateway/peer_link.hpp
+++ b/src/libgateway/include/medlarstall/gateway/peer_link.hpp
@@ -38,12 +38,15 @@
               std::string const& bytes);
 
 private:
+    /// Longest datagram that UDP carries.
+    static constexpr std::size_t most_bytes = 65536;
+
     void receive();
 
     asio::ip::udp::socket socket_;
     handler received_;
     asio::ip::udp::endpoint sender_;
-    std::array<char, 16384> buffer_{};
+    std::array<char, most_bytes> buffer_{};
 };
 
 } // namespace medlarstall::gateway
