--- a/src/libdispatch/include/medlarstall/dispatch/listed_servers.hpp
+++ b/src/libdispatch/include/medlarstall/dispatch/listed_servers.hpp
@@ -27,6 +27,7 @@
     added,
     restarted, ///< Another start under the same id.
     updated,
+    repeated, ///< Only its sequence number has grown.
     draining,
     lapsed, ///< Removed, but still believed for a while.
     removed
--- a/src/libdispatch/include/medlarstall/dispatch/prompt.hpp
+++ b/src/libdispatch/include/medlarstall/dispatch/prompt.hpp
@@ -1,6 +1,7 @@
 #ifndef MEDLARSTALL_DISPATCH_PROMPT_HPP
 #define MEDLARSTALL_DISPATCH_PROMPT_HPP
 
+#include <algorithm>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -21,6 +22,13 @@
     std::uint32_t tokens = 0;        ///< Of the whole prompt.
     std::uint32_t output_tokens = 0; ///< Expected, or at most.
     std::vector<prompt_part> parts;  ///< In order.
+
+    /// \return tokens of all but the last part, which is the request's own
+    [[nodiscard]] std::uint32_t shared_tokens() const
+    {
+        auto const last = parts.empty() ? 0 : parts.back().tokens;
+        return tokens - std::min(tokens, last);
+    }
 };
 
 } // namespace medlarstall::dispatch
--- a/src/libdispatch/include/medlarstall/dispatch/waiting_policy.hpp
+++ b/src/libdispatch/include/medlarstall/dispatch/waiting_policy.hpp
@@ -6,6 +6,11 @@
 
 namespace medlarstall::dispatch {
 
+/// When callers are told to come back: after their request was turned away, and
+/// where there is no backend server.
+inline constexpr std::chrono::milliseconds turned_away_return{60};
+inline constexpr std::chrono::milliseconds no_server_return{400};
+
 /// Tells how long a request that finds no backend server waits before it looks
 /// again: for an eighth of its objective at most.
 /// \param route route of the request
--- a/src/libdispatch/src/fleet_cells.cpp
+++ b/src/libdispatch/src/fleet_cells.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <string_view>
 #include <utility>
 
 namespace medlarstall::dispatch {
@@ -14,7 +15,8 @@
 void sort_by_hash(std::vector<std::string>& names)
 {
     std::ranges::sort(names, {}, [](std::string const& name) {
-        return std::pair{std::hash<std::string>{}(name), name};
+        return std::pair{std::hash<std::string>{}(name),
+                         std::string_view{name}};
     });
 }
 
--- a/src/libdispatch/src/listed_servers.cpp
+++ b/src/libdispatch/src/listed_servers.cpp
@@ -13,6 +13,8 @@
         return "restarted";
     case list_change::updated:
         return "updated";
+    case list_change::repeated:
+        return "repeated";
     case list_change::draining:
         return "draining";
     case list_change::lapsed:
@@ -54,7 +56,7 @@
     }
     auto const [place, added] = servers_.try_emplace(entry.id);
     auto& known = place->second;
-    auto const before = known.entry;
+    auto before = known.entry;
     known = {entry, now, std::nullopt};
     removed_.erase(entry.id);
     if (added) {
@@ -67,7 +69,8 @@
     if (entry.draining && !before.draining) {
         return list_change::draining;
     }
-    return list_change::updated;
+    before.sequence = entry.sequence;
+    return before == entry ? list_change::repeated : list_change::updated;
 }
 
 bool listed_servers::in_outage(time_point now) const
--- a/src/libemulator/src/emulated_fleet.cpp
+++ b/src/libemulator/src/emulated_fleet.cpp
@@ -11,16 +11,9 @@
 
 using std::chrono::milliseconds;
 
-constexpr milliseconds no_server_return{400};
-constexpr milliseconds turned_away_return{60};
 constexpr milliseconds restart_return{200};
 constexpr milliseconds copy_setup{10};
 
-std::uint32_t shared_tokens(dispatch::prompt const& asked)
-{
-    return asked.parts.empty() ? 0 : asked.tokens - asked.parts.back().tokens;
-}
-
 } // namespace
 
 emulated_fleet::emulated_fleet(event_queue& events, experiment const& what,
@@ -141,7 +134,7 @@
     } else if (state.attempts.may_have_run) {
         seen_.note_broken(call);
     } else {
-        refuse(call, no_server_return);
+        refuse(call, dispatch::no_server_return);
     }
 }
 
@@ -156,7 +149,7 @@
         call, decisions_for(call).note_sent(wanted, where, events_.now())};
     if (wanted.asked) {
         tell_prompt(state.daemon, {where.backend_server, *wanted.asked},
-                    where.cached_tokens < shared_tokens(*wanted.asked));
+                    where.cached_tokens < wanted.asked->shared_tokens());
     }
     auto delay = duration{what_.hop};
     copied_ += where.copied_tokens;
@@ -307,7 +300,7 @@
         place(call);
         break;
     case dispatch::next_step::refuse:
-        refuse(call, turned_away_return);
+        refuse(call, dispatch::turned_away_return);
         break;
     case dispatch::next_step::give_up:
         seen_.note_broken(call);
--- a/src/libemulator/src/experiment.cpp
+++ b/src/libemulator/src/experiment.cpp
@@ -312,34 +312,37 @@
             speed.bytes_per_token, speed.link_mbps};
 }
 
-} // namespace
-
-result<experiment> parse_installation(std::string_view text)
+/// Parses a text and reads it; the first failure goes before what was read.
+template<class Read>
+result<experiment> parse_with(Read read, std::string_view text)
 {
     auto const value = parse_json(text);
     if (failed(value)) {
         return error_of(value);
     }
     std::optional<error> failure;
-    auto made = read_all(value_of(value), failure);
+    auto made = read(value_of(value), failure);
     if (failure) {
         return *failure;
     }
     return made;
 }
 
+} // namespace
+
+result<experiment> parse_installation(std::string_view text)
+{
+    return parse_with(read_all, text);
+}
+
 result<experiment> parse_load(std::string_view text, experiment at)
 {
-    auto const value = parse_json(text);
-    if (failed(value)) {
-        return error_of(value);
-    }
-    std::optional<error> failure;
-    read_load(value_of(value), at, failure);
-    if (failure) {
-        return *failure;
-    }
-    return at;
+    auto const read = [&at](nlohmann::json const& value,
+                            std::optional<error>& failure) {
+        read_load(value, at, failure);
+        return std::move(at);
+    };
+    return parse_with(read, text);
 }
 
 routes::configuration configuration_of(experiment const& from)
--- a/src/libemulator/src/placement_strategy.cpp
+++ b/src/libemulator/src/placement_strategy.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <functional>
-#include <map>
 
 namespace medlarstall::emulator {
 
@@ -25,14 +24,12 @@
     return usable;
 }
 
-dispatch::placement placement_at(backend_server_entry const& entry,
-                                 dispatch::work const& wanted)
+dispatch::placement placement_at(backend_server_entry const& entry)
 {
     dispatch::placement made;
     made.backend_server = entry.id;
     made.address = entry.address;
     made.expected_first_event = 1;
-    made.candidates = wanted.excluded.size() + 1;
     return made;
 }
 
@@ -49,8 +46,7 @@
             least = in_flight;
         }
     }
-    return best == nullptr ? std::nullopt
-                           : std::optional{placement_at(*best, wanted)};
+    return best == nullptr ? std::nullopt : std::optional{placement_at(*best)};
 }
 
 std::optional<dispatch::placement>
@@ -70,8 +66,7 @@
             highest = rank;
         }
     }
-    return best == nullptr ? std::nullopt
-                           : std::optional{placement_at(*best, wanted)};
+    return best == nullptr ? std::nullopt : std::optional{placement_at(*best)};
 }
 
 } // namespace
--- a/src/libgateway/include/medlarstall/gateway/forwarded_request.hpp
+++ b/src/libgateway/include/medlarstall/gateway/forwarded_request.hpp
@@ -121,6 +121,7 @@
     void after_failure(dispatch::send_failure failure, char const* reason);
     bool has_budget(dispatch::send_failure failure);
     bool can_go_on() const;
+    bool may_run_elsewhere() const;
     bool may_try_elsewhere();
     void log_failed_send(char const* reason, dispatch::next_step step);
     void end_send(dispatch::send_outcome outcome);
--- a/src/libgateway/src/forwarded_request.cpp
+++ b/src/libgateway/src/forwarded_request.cpp
@@ -18,8 +18,6 @@
 
 constexpr milliseconds least_useful_time{5};
 constexpr milliseconds silent_stream{1200};
-constexpr milliseconds turned_away_return{60};
-constexpr milliseconds no_server_return{400};
 constexpr milliseconds crash_return{5000};
 
 std::uint64_t hash_of(std::string_view text, std::uint64_t seed = 0)
@@ -27,13 +25,6 @@
     return XXH3_64bits_withSeed(text.data(), text.size(), seed);
 }
 
-/// \return tokens of the parts that other requests may share
-std::uint32_t shared_tokens(dispatch::prompt const& asked)
-{
-    auto const last = asked.parts.empty() ? 0 : asked.parts.back().tokens;
-    return asked.tokens - std::min(asked.tokens, last);
-}
-
 milliseconds whole_ms(duration span)
 {
     return std::chrono::duration_cast<milliseconds>(span);
@@ -141,7 +132,7 @@
     } else if (attempts_.may_have_run) {
         give_up(bad_gateway, "no_other_backend_server");
     } else {
-        refuse("no_backend_server", no_server_return);
+        refuse("no_backend_server", dispatch::no_server_return);
     }
 }
 
@@ -195,7 +186,7 @@
     send_->connection =
         shared_.pool.take(where.backend_server, *address, once, now);
     if (wanted.asked) {
-        auto const news = where.cached_tokens < shared_tokens(*wanted.asked);
+        auto const news = where.cached_tokens < wanted.asked->shared_tokens();
         shared_.tell_prompt({where.backend_server, wanted.asked->parts}, news);
     }
     decision_line{shared_.log, line_kind::success, "send"}
@@ -300,6 +291,14 @@
     return request_.route->resumable && last_event_.has_value();
 }
 
+/// \return true if another backend server may run it after this send
+bool forwarded_request::may_run_elsewhere() const
+{
+    auto const& route = *request_.route;
+    return route.may_run_again() && can_go_on() &&
+           attempts_.reached + 1 < route.attempts;
+}
+
 void forwarded_request::after_failure(dispatch::send_failure failure,
                                       char const* reason)
 {
@@ -314,7 +313,7 @@
         look_for_server();
         break;
     case dispatch::next_step::refuse:
-        refuse("not_run", turned_away_return);
+        refuse("not_run", dispatch::turned_away_return);
         break;
     case dispatch::next_step::give_up:
         if (caller_->begun()) {
@@ -385,10 +384,8 @@
     auto const down =
         state == nullptr || state->state() == dispatch::health::down;
     auto const plain = request_.route->kind == routes::route_kind::repeatable;
-    auto const elsewhere = request_.route->may_run_again() && can_go_on() &&
-                           attempts_.reached + 1 < request_.route->attempts;
     auto const stuck = send_->held.answered && silent > 2 * silent_stream;
-    if (!elsewhere || !(down || plain || stuck)) {
+    if (!may_run_elsewhere() || !(down || plain || stuck)) {
         return;
     }
     end_send(dispatch::send_outcome::failed);
--- a/src/libgateway/src/forwarded_request_relay.cpp
+++ b/src/libgateway/src/forwarded_request_relay.cpp
@@ -198,9 +198,7 @@
 /// \return true if another backend server may do what this one failed at
 bool forwarded_request::may_try_elsewhere()
 {
-    auto const& route = *request_.route;
-    return route.may_run_again() && can_go_on() &&
-           attempts_.reached + 1 < route.attempts &&
+    return may_run_elsewhere() &&
            time_left(decision_clock::now()) > least_retry_time &&
            has_budget(dispatch::send_failure::lost);
 }
--- a/src/libgateway/src/gateway.cpp
+++ b/src/libgateway/src/gateway.cpp
@@ -35,17 +35,6 @@
     return settings;
 }
 
-std::optional<dispatch::backend_server_entry>
-entry_without_sequence(dispatch::backend_server_entry const* entry)
-{
-    if (entry == nullptr) {
-        return std::nullopt;
-    }
-    auto copy = *entry;
-    copy.sequence = 0;
-    return copy;
-}
-
 std::uint64_t start_number()
 {
     auto const now = std::chrono::system_clock::now().time_since_epoch();
@@ -279,7 +268,6 @@
 {
     auto const now = decision_clock::now();
     auto change = dispatch::list_change::none;
-    auto const before = entry_without_sequence(dispatcher_.find(item.key));
     if (item.value) {
         auto const entry =
             translations_.read_backend_server(item.key, *item.value);
@@ -297,8 +285,7 @@
     }
     log_list_change(item.key, change, item.offset);
     return change != dispatch::list_change::none &&
-           (change != dispatch::list_change::updated ||
-            before != entry_without_sequence(dispatcher_.find(item.key)));
+           change != dispatch::list_change::repeated;
 }
 
 void gateway::log_list_change(std::string const& id,
@@ -306,7 +293,8 @@
                               std::uint64_t offset)
 {
     using dispatch::list_change;
-    if (change == list_change::none || change == list_change::updated) {
+    if (change == list_change::none || change == list_change::updated ||
+        change == list_change::repeated) {
         return;
     }
     if (change != list_change::added && change != list_change::lapsed) {
--- a/src/libsettings/src/setting_set.cpp
+++ b/src/libsettings/src/setting_set.cpp
@@ -12,13 +12,6 @@
 
 namespace {
 
-std::vector<std::string> list_items(std::string_view text)
-{
-    auto items = split(text, ',');
-    std::erase(items, "");
-    return {items.begin(), items.end()};
-}
-
 std::string joined(std::vector<std::string> const& parts)
 {
     std::string text;
--- a/src/libsupport/include/medlarstall/support/split.hpp
+++ b/src/libsupport/include/medlarstall/support/split.hpp
@@ -1,6 +1,7 @@
 #ifndef MEDLARSTALL_SUPPORT_SPLIT_HPP
 #define MEDLARSTALL_SUPPORT_SPLIT_HPP
 
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -13,6 +14,13 @@
 [[nodiscard]] std::vector<std::string_view> split(std::string_view list,
                                                   char separator);
 
+/// Reads a list of texts.
+/// \param list items with a separator between them
+/// \param separator the separator
+/// \return the items that are not empty, without the blanks around them
+[[nodiscard]] std::vector<std::string> list_items(std::string_view list,
+                                                  char separator = ',');
+
 } // namespace medlarstall
 
 #endif
--- a/src/libsupport/src/split.cpp
+++ b/src/libsupport/src/split.cpp
@@ -29,4 +29,11 @@
     return items;
 }
 
+std::vector<std::string> list_items(std::string_view list, char separator)
+{
+    auto items = split(list, separator);
+    std::erase(items, "");
+    return {items.begin(), items.end()};
+}
+
 } // namespace medlarstall
--- a/tests/libgateway/gateway_world.cpp
+++ b/tests/libgateway/gateway_world.cpp
@@ -101,16 +101,11 @@
     return true;
 }
 
-std::shared_ptr<caller_answer> gateway_world::send(std::size_t gateway,
-                                                   std::string const& method,
-                                                   std::string const& path,
-                                                   std::string const& id,
-                                                   std::string const& key)
+namespace {
+
+/// \return events that fill an answer
+http::call_events events_into(std::shared_ptr<caller_answer> const& answer)
 {
-    auto answer = std::make_shared<caller_answer>();
-    auto connection = std::make_shared<http::upstream_connection>(
-        context, gateways.at(gateway)->settings().entry_address);
-    connections.push_back(connection);
     http::call_events events;
     events.belongs = [](http::response_head const&) {
         return true;
@@ -128,6 +123,21 @@
     events.failed = [answer](http::call_failure) {
         answer->broken = true;
     };
+    return events;
+}
+
+} // namespace
+
+std::shared_ptr<caller_answer> gateway_world::send(std::size_t gateway,
+                                                   std::string const& method,
+                                                   std::string const& path,
+                                                   std::string const& id,
+                                                   std::string const& key)
+{
+    auto answer = std::make_shared<caller_answer>();
+    auto connection = std::make_shared<http::upstream_connection>(
+        context, gateways.at(gateway)->settings().entry_address);
+    connections.push_back(connection);
     http::request_head head{method, path, {}};
     head.headers.add("Host", "h.example");
     head.headers.add("X-Attempt-Id", id);
@@ -138,7 +148,7 @@
     }
     connection->start_call(
         http::write_request(head, method == "POST" ? "body of " + id : ""),
-        false, std::move(events));
+        false, events_into(answer));
     return answer;
 }
 
@@ -174,26 +184,10 @@
     auto const answer = std::make_shared<caller_answer>();
     auto const connection =
         std::make_shared<http::upstream_connection>(context, address);
-    http::call_events events;
-    events.belongs = [](http::response_head const&) {
-        return true;
-    };
-    events.head = [answer](http::response_head& head, http::body_framing) {
-        answer->status = head.status;
-    };
-    events.body = [answer](std::string const& bytes) {
-        answer->body += bytes;
-    };
-    events.complete = [answer] {
-        answer->complete = true;
-    };
-    events.failed = [answer](http::call_failure) {
-        answer->broken = true;
-    };
     http::request_head head{"GET", target, {}};
     head.headers.add("Host", "h");
     connection->start_call(http::write_request(head, ""), false,
-                           std::move(events));
+                           events_into(answer));
     BOOST_TEST(run_until([&answer] { return answer->over(); }));
     return *answer;
 }
