Rank requests by organisation first and then by route

Ruled out: priorities that differ between daemons (all sends of an organisation bore the same figure, by a log of every send), memory running out (batches of 12 were full, not the memory), copied and resumed prompts (the first cases are neither).

Change: urgency is the pair of both priorities, the organisation's first; urgency_scale numbers the pairs of a configuration, platform/ turns the number into its ten levels. The line of a send tells the urgency. Tests in libroutes and platform failed before.

--- a/src/libgateway/include/medlarstall/gateway/forwarded_request.hpp
+++ b/src/libgateway/include/medlarstall/gateway/forwarded_request.hpp
@@ -105,6 +105,7 @@
     void look_for_server();
     void look_again_after(duration pause);
     void send_to(dispatch::placement const& where);
+    std::uint32_t urgency() const;
     std::string request_text(dispatch::placement const& where) const;
     http::call_events events_of_send(std::uint64_t number);
     bool belongs(http::response_head const& head) const;
--- a/src/libgateway/src/forwarded_request.cpp
+++ b/src/libgateway/src/forwarded_request.cpp
@@ -148,6 +148,13 @@
         });
 }
 
+/// \return its rank among all requests; 0 is the most urgent
+std::uint32_t forwarded_request::urgency() const
+{
+    return request_.table->urgencies().rank(
+        routes::urgency_of(*request_.route, request_.organisation));
+}
+
 std::string
 forwarded_request::request_text(dispatch::placement const& where) const
 {
@@ -155,12 +162,11 @@
     send_facts facts;
     facts.backend_server = where.backend_server;
     facts.time_left = time_left(decision_clock::now());
-    auto urgency = request_.route->priority;
     if (request_.organisation != nullptr) {
         facts.organisation = request_.organisation->name;
-        urgency = request_.organisation->priority.value_or(urgency);
     }
-    facts.urgency = urgency;
+    facts.urgency = urgency();
+    facts.urgencies = request_.table->urgencies().ranks();
     facts.copy_prompt_from = where.copy_from;
     facts.resume_after = last_event_;
     shared_.protocol.prepare_send(head, facts);
@@ -193,6 +199,7 @@
         .with("id", request_.facts.attempt_id)
         .with("server", where.backend_server)
         .with("attempt", sends_)
+        .with("urgency", urgency())
         .with("candidates", where.candidates)
         .with("cost", static_cast<std::int64_t>(where.cost))
         .with("expected_first_ms",
--- a/src/libroutes/include/medlarstall/routes/configuration.hpp
+++ b/src/libroutes/include/medlarstall/routes/configuration.hpp
@@ -75,7 +75,7 @@
 {
     std::string name;
     std::vector<std::string> keys;
-    std::optional<std::uint32_t> priority; ///< Overrides that of the route.
+    std::optional<std::uint32_t> priority; ///< Goes before that of the route.
 };
 
 /// What a caller may send and how long it may take.
--- a/src/libroutes/include/medlarstall/routes/route_table.hpp
+++ b/src/libroutes/include/medlarstall/routes/route_table.hpp
@@ -2,6 +2,7 @@
 #define MEDLARSTALL_ROUTES_ROUTE_TABLE_HPP
 
 #include <medlarstall/routes/configuration.hpp>
+#include <medlarstall/routes/urgency_scale.hpp>
 
 #include <cstdint>
 #include <string_view>
@@ -35,6 +36,9 @@
     /// \return the service, or nullptr
     [[nodiscard]] service const* find_service(std::string_view name) const;
 
+    /// \return numbers for the urgencies of this configuration
+    [[nodiscard]] urgency_scale const& urgencies() const { return urgencies_; }
+
     /// \return the configuration
     [[nodiscard]] configuration const& content() const { return content_; }
 
@@ -49,6 +53,7 @@
     };
 
     configuration content_;
+    urgency_scale urgencies_;
     std::unordered_map<std::string_view, std::vector<route const*>> by_host_;
     std::unordered_multimap<std::size_t, key_holder> by_key_;
     std::unordered_map<std::string_view, service const*> services_;
--- a/src/libroutes/src/route_table.cpp
+++ b/src/libroutes/src/route_table.cpp
@@ -48,7 +48,8 @@
     return "unknown";
 }
 
-route_table::route_table(configuration content) : content_{std::move(content)}
+route_table::route_table(configuration content)
+    : content_{std::move(content)}, urgencies_{content_}
 {
     for (auto const& item : content_.routes) {
         by_host_[item.host].push_back(&item);
--- a/tests/libroutes/route_table_test.cpp
+++ b/tests/libroutes/route_table_test.cpp
@@ -53,6 +53,40 @@
     BOOST_TEST(table.find_organisation("") == nullptr);
 }
 
+BOOST_AUTO_TEST_CASE(urgency_goes_by_organisation_and_then_by_route)
+{
+    // All requests of an organisation had one urgency, and its short streams
+    // were preempted while its long prompts ran on.
+    configuration content;
+    content.routes = {make_route("a", "/draft/"), make_route("a", "/review/")};
+    content.routes[1].priority = 2;
+    content.organisations = {{"first", {}, 0}, {"second", {}, 1}};
+    route_table const table{content};
+    auto const rank = [&](std::size_t route, std::size_t organisation) {
+        return table.urgencies().rank(
+            urgency_of(table.content().routes[route],
+                       &table.content().organisations[organisation]));
+    };
+    BOOST_TEST(rank(0, 0) < rank(1, 0));
+    BOOST_TEST(rank(1, 0) < rank(0, 1));
+    BOOST_TEST(rank(0, 1) < rank(1, 1));
+    BOOST_TEST(rank(1, 1) < table.urgencies().ranks());
+}
+
+BOOST_AUTO_TEST_CASE(without_priorities_of_organisations_the_route_decides)
+{
+    configuration content;
+    content.routes = {make_route("a", "/draft/"), make_route("a", "/review/")};
+    content.routes[1].priority = 1;
+    content.organisations = {{"small", {}, std::nullopt}};
+    route_table const table{content};
+    auto const& routes = table.content().routes;
+    auto const* const caller = &table.content().organisations[0];
+    BOOST_TEST(table.urgencies().ranks() == 2U);
+    BOOST_TEST(table.urgencies().rank(urgency_of(routes[0], caller)) == 0U);
+    BOOST_TEST(table.urgencies().rank(urgency_of(routes[1], nullptr)) == 1U);
+}
+
 RC_BOOST_PROP(services_get_their_weight, ())
 {
     route split = make_route("h", "/");
--- a/tests/platform/readers_test.cpp
+++ b/tests/platform/readers_test.cpp
@@ -186,6 +186,7 @@
     facts.time_left = std::chrono::milliseconds{900};
     facts.organisation = "t";
     facts.urgency = 12;
+    facts.urgencies = 13;
     facts.resume_after = 5;
     protocol.prepare_send(head, facts);
     auto const& headers = head.headers;
@@ -203,6 +204,24 @@
     BOOST_TEST(head.target == "/p/x?y=1");
 }
 
+BOOST_AUTO_TEST_CASE(urgencies_become_the_levels_of_the_platform)
+{
+    auto const protocol = make_wire_protocol();
+    auto const level = [&](std::uint32_t urgency, std::uint32_t urgencies) {
+        auto head = caller_request();
+        gateway::send_facts facts;
+        facts.urgency = urgency;
+        facts.urgencies = urgencies;
+        protocol.prepare_send(head, facts);
+        return *head.headers.find("X-Request-Priority");
+    };
+    BOOST_TEST(level(0, 6) == "0");
+    BOOST_TEST(level(5, 6) == "5");
+    BOOST_TEST(level(0, 20) == "0");
+    BOOST_TEST(level(7, 20) == "3");
+    BOOST_TEST(level(19, 20) == "9");
+}
+
 BOOST_AUTO_TEST_CASE(own_answers_say_when_to_come_back)
 {
     auto const answer = make_wire_protocol().write_own(
