Give up answers that never end, and count events rather than bytes

A stream that sent a byte now and then was never stuck, since silence counted from the last byte. An event without end was collected without bound until the time limit, and interim answers without end kept a request waiting for as long. A daemon that was paused took every send for silent at once, and deadlines did not count a suspension of the machine. Answers to calls of its own had no bound. A sound stream at a slow server was cut after 2.4 s whatever its pause objective.

Ruled out by the same tests: heads and fields without end, bytes that are no answer, second copies of an answer on a kept connection, a body without end (ends at the time limit, not whole) were handled before.

Change: progress of a stream is a whole event; an event over 1 MB and interim answers over the head limit are malformed; a pause of the daemon resets the silence of its sends and shortens their time by the suspension; 8 MB bound on own calls; a stream is stuck after four times its pause objective, 2.4 s at least.

Tests, through a whole gateway with a raw backend server: three of eight failed before (interim answers, event without end, stuck stream that sends bytes).

--- a/src/libgateway/include/medlarstall/gateway/event_splitter.hpp
+++ b/src/libgateway/include/medlarstall/gateway/event_splitter.hpp
@@ -1,6 +1,7 @@
 #ifndef MEDLARSTALL_GATEWAY_EVENT_SPLITTER_HPP
 #define MEDLARSTALL_GATEWAY_EVENT_SPLITTER_HPP
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -29,10 +30,18 @@
     /// \return true if the bytes so far end within an event
     [[nodiscard]] bool within_event() const { return !pending_.empty(); }
 
+    /// \return true if the event that is not whole is longer than any should be
+    [[nodiscard]] bool too_long() const
+    {
+        return pending_.size() > most_event_bytes;
+    }
+
     /// Drops the event that is not whole.
     void restart() { pending_.clear(); }
 
 private:
+    static constexpr std::size_t most_event_bytes = 1048576;
+
     std::string pending_;
 };
 
--- a/src/libgateway/include/medlarstall/gateway/forwarded_request.hpp
+++ b/src/libgateway/include/medlarstall/gateway/forwarded_request.hpp
@@ -73,6 +73,12 @@
     /// \param now current time
     void check(time_point now);
 
+    /// Accounts for time in which this daemon did not run: its silence is not
+    /// that of the backend server.
+    /// \param asleep time that the clock of deadlines did not count
+    /// \param now current time
+    void note_pause(duration asleep, time_point now);
+
     /// Ends the request at once, when the daemon must stop.
     void stop();
 
@@ -97,7 +103,7 @@
         http::response_head head;
         std::string body;
         relay_mode mode = relay_mode::undecided;
-        time_point last_bytes;
+        time_point last_progress; ///< Head, bytes of a body, whole event.
         bool turned_away = false; ///< The backend server did not run it.
     };
 
@@ -138,6 +144,7 @@
     dispatch::work work_to_place() const;
     std::chrono::milliseconds time_left(time_point now) const;
     std::chrono::milliseconds patience() const;
+    std::chrono::milliseconds longest_silence() const;
     std::chrono::milliseconds
     return_after(std::chrono::milliseconds base) const;
     std::uint64_t make_fingerprint() const;
--- a/src/libgateway/src/forwarded_request.cpp
+++ b/src/libgateway/src/forwarded_request.cpp
@@ -188,7 +188,7 @@
     send_->number = ++sends_;
     send_->where = where;
     send_->held = shared_.dispatcher.note_sent(wanted, where, now);
-    send_->last_bytes = now;
+    send_->last_progress = now;
     send_->connection =
         shared_.pool.take(where.backend_server, *address, once, now);
     if (wanted.asked) {
@@ -370,12 +370,35 @@
     return route.objective * objectives;
 }
 
+/// \return time between two events after which a stream is stuck, also at a
+///     backend server that seems well
+milliseconds forwarded_request::longest_silence() const
+{
+    constexpr int pauses = 4; // A slow server may miss its objective by far.
+    return std::max(2 * silent_stream,
+                    pauses * request_.route->pause_objective);
+}
+
+void forwarded_request::note_pause(duration asleep, time_point now)
+{
+    if (over_told_) {
+        return;
+    }
+    if (send_) {
+        send_->last_progress = now;
+    }
+    if (asleep > duration::zero()) {
+        deadline_ -= asleep;
+        arm_deadline();
+    }
+}
+
 void forwarded_request::check(time_point now)
 {
     if (!send_ || over_told_) {
         return;
     }
-    auto const silent = now - send_->last_bytes;
+    auto const silent = now - send_->last_progress;
     auto* const state =
         shared_.dispatcher.health_of(send_->where.backend_server);
     auto const expected = milliseconds{
@@ -391,7 +414,7 @@
     auto const down =
         state == nullptr || state->state() == dispatch::health::down;
     auto const plain = request_.route->kind == routes::route_kind::repeatable;
-    auto const stuck = send_->held.answered && silent > 2 * silent_stream;
+    auto const stuck = send_->held.answered && silent > longest_silence();
     if (!may_run_elsewhere() || !(down || plain || stuck)) {
         return;
     }
--- a/src/libgateway/src/forwarded_request_relay.cpp
+++ b/src/libgateway/src/forwarded_request_relay.cpp
@@ -36,7 +36,7 @@
     auto const now = decision_clock::now();
     auto const facts = shared_.protocol.read_answer(head);
     auto const& server = send_->where.backend_server;
-    send_->last_bytes = now;
+    send_->last_progress = now;
     if (facts.load) {
         shared_.dispatcher.note_report(server, *facts.load, now);
     }
@@ -63,7 +63,9 @@
 
 void forwarded_request::on_body(std::string const& bytes)
 {
-    send_->last_bytes = decision_clock::now();
+    if (send_->mode != relay_mode::events) {
+        send_->last_progress = decision_clock::now();
+    }
     switch (send_->mode) {
     case relay_mode::events:
         relay_events(bytes);
@@ -108,10 +110,17 @@
 void forwarded_request::relay_events(std::string const& bytes)
 {
     auto const events = splitter_.feed(bytes);
+    if (splitter_.too_long()) {
+        on_failed(http::call_failure::malformed);
+        return;
+    }
     if (events.empty()) {
         return;
     }
-    shared_.dispatcher.note_answer(send_->held, decision_clock::now());
+    // Bytes that make no event do not count: a server that is stuck may go on
+    // sending some.
+    send_->last_progress = decision_clock::now();
+    shared_.dispatcher.note_answer(send_->held, send_->last_progress);
     std::string text;
     for (auto const& event : events) {
         if (!relay_event(event, text)) {
--- a/src/libgateway/src/gateway_upkeep.cpp
+++ b/src/libgateway/src/gateway_upkeep.cpp
@@ -24,6 +24,8 @@
 constexpr std::size_t most_learners = 8;
 constexpr int ok = 200;
 constexpr int no_answer = 0;
+/// Longest answer to a call of its own, in bytes.
+constexpr std::size_t most_side_answer = 8388608;
 
 /// Idle connections are closed this long after a stop began.
 constexpr milliseconds idle_kept{2500};
@@ -97,6 +99,11 @@
     decision_line{log_, line_kind::belief, "woke"}
         .with("asleep", slept)
         .with("missed", missed);
+    auto const now = decision_clock::now();
+    auto const current = requests_;
+    for (auto const& request : current) {
+        request->note_pause(std::chrono::duration_cast<duration>(slept), now);
+    }
     pool_.drop_all();
     configuration_follower_->read_now();
     servers_follower_->read_now();
@@ -225,8 +232,11 @@
     events.head = [got](http::response_head& answer, http::body_framing) {
         got->head = answer;
     };
-    events.body = [got](std::string const& bytes) {
+    events.body = [got, finish](std::string const& bytes) {
         got->body += bytes;
+        if (got->body.size() > most_side_answer) {
+            finish(false);
+        }
     };
     events.complete = [finish] {
         finish(true);
--- a/src/libhttp/src/message_parser.cpp
+++ b/src/libhttp/src/message_parser.cpp
@@ -39,6 +39,9 @@
     return status / 100 != 1 && status != no_content && status != not_modified;
 }
 
+/// Of the status line; counted for answers that come before the final one.
+constexpr std::size_t least_head_bytes = 16;
+
 /// Return values of http_parser's callback at the end of a head.
 constexpr int read_body = 0;
 constexpr int skip_body = 1;
@@ -249,6 +252,10 @@
     auto const interim =
         kind_ == message_kind::response && response_.status / 100 == 1;
     if (interim) {
+        head_bytes_ += least_head_bytes;
+        if (head_bytes_ > limits_.head_bytes) {
+            return fail(parse_failure::head_too_large);
+        }
         response_ = {};
         has_head_ = false;
         framing_ = body_framing::none;
--- /dev/null
+++ b/tests/platform_standins/include/medlarstall/platform_standins/raw_server.hpp
@@ -0,0 +1,58 @@
+#ifndef MEDLARSTALL_PLATFORM_STANDINS_RAW_SERVER_HPP
+#define MEDLARSTALL_PLATFORM_STANDINS_RAW_SERVER_HPP
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <array>
+#include <chrono>
+#include <cstddef>
+#include <memory>
+#include <string>
+
+namespace medlarstall::platform_standins {
+
+/// Bytes that a raw server sends to each request.
+struct raw_answer
+{
+    std::string first; ///< Once; ID stands for the id of the attempt.
+    std::string again; ///< After that, until the connection is closed.
+    std::chrono::milliseconds interval{0}; ///< Between two of the latter.
+};
+
+/// A backend server in trouble: it answers with bytes that need not be HTTP and
+/// need not end. Health checks are answered well.
+class raw_server
+{
+public:
+    /// \param context event loop
+    /// \param answer what it sends
+    raw_server(asio::io_context& context, raw_answer answer);
+
+    /// \return its address as IP:PORT
+    [[nodiscard]] std::string address() const;
+
+    /// \return requests that it has received, health checks aside
+    [[nodiscard]] std::size_t requests() const { return requests_; }
+
+    /// \return connections that the other side has closed
+    [[nodiscard]] std::size_t closed() const { return closed_; }
+
+private:
+    struct session;
+
+    void accept();
+    void read(std::shared_ptr<session> const& with);
+    void on_bytes(std::shared_ptr<session> const& with);
+    void send_again(std::shared_ptr<session> const& with);
+
+    asio::ip::tcp::acceptor acceptor_;
+    raw_answer answer_;
+    std::size_t requests_ = 0;
+    std::size_t closed_ = 0;
+};
+
+} // namespace medlarstall::platform_standins
+
+#endif
--- /dev/null
+++ b/tests/platform_standins/src/raw_server.cpp
@@ -0,0 +1,105 @@
+#include <medlarstall/platform_standins/raw_server.hpp>
+
+#include <asio/buffer.hpp>
+#include <asio/write.hpp>
+
+#include <utility>
+
+namespace medlarstall::platform_standins {
+
+/// One connection. Kept alive by its pending operations.
+struct raw_server::session
+{
+    explicit session(asio::ip::tcp::socket connected)
+        : socket{std::move(connected)}, timer{socket.get_executor()}
+    {}
+
+    asio::ip::tcp::socket socket;
+    asio::steady_timer timer;
+    std::array<char, 4096> buffer{};
+    std::string received;
+};
+
+raw_server::raw_server(asio::io_context& context, raw_answer answer)
+    : acceptor_{context, {asio::ip::make_address("127.0.0.1"), 0}},
+      answer_{std::move(answer)}
+{
+    accept();
+}
+
+std::string raw_server::address() const
+{
+    return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+}
+
+void raw_server::accept()
+{
+    acceptor_.async_accept(
+        [this](std::error_code failure, asio::ip::tcp::socket connected) {
+            if (!failure) {
+                read(std::make_shared<session>(std::move(connected)));
+                accept();
+            }
+        });
+}
+
+void raw_server::read(std::shared_ptr<session> const& with)
+{
+    with->socket.async_read_some(
+        asio::buffer(with->buffer),
+        [this, with](std::error_code failure, std::size_t count) {
+            if (failure) {
+                ++closed_;
+                return;
+            }
+            with->received.append(with->buffer.data(), count);
+            on_bytes(with);
+            read(with);
+        });
+}
+
+/// Takes the end of a head as the end of a request; bodies are not answered.
+void raw_server::on_bytes(std::shared_ptr<session> const& with)
+{
+    auto const end = with->received.find("\r\n\r\n");
+    if (end == std::string::npos) {
+        return;
+    }
+    auto const head = std::exchange(with->received, {}).substr(0, end);
+    if (head.starts_with("GET /healthz")) {
+        asio::write(with->socket,
+                    asio::buffer(std::string{
+                        "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"}));
+        return;
+    }
+    ++requests_;
+    constexpr std::string_view field = "X-Attempt-Id: ";
+    auto const at = head.find(field) + field.size();
+    auto const id = head.substr(at, head.find('\r', at) - at);
+    auto text = answer_.first;
+    for (auto place = text.find("ID"); place != std::string::npos;
+         place = text.find("ID")) {
+        text.replace(place, 2, id);
+    }
+    std::error_code ignored;
+    asio::write(with->socket, asio::buffer(text), ignored);
+    send_again(with);
+}
+
+void raw_server::send_again(std::shared_ptr<session> const& with)
+{
+    if (answer_.again.empty()) {
+        return;
+    }
+    with->timer.expires_after(answer_.interval);
+    with->timer.async_wait([this, with](std::error_code) {
+        asio::async_write(with->socket, asio::buffer(answer_.again),
+                          [this, with](std::error_code failure, std::size_t) {
+                              if (!failure) {
+                                  send_again(with);
+                              }
+                          });
+    });
+}
+
+} // namespace medlarstall::platform_standins
