Compare daemons and backend servers by xxhash

Cause: cells, homes of prompts and numbers of crashes are compared between processes, but were hashed by the standard library, whose hashes two builds need not share: daemons of two versions would have divided the fleet differently.

Change: hash64 (XXH3) in fleet_cells, the choice and crash_ledger.

--- a/src/libdispatch/src/crash_ledger.cpp
+++ b/src/libdispatch/src/crash_ledger.cpp
@@ -1,7 +1,8 @@
 #include <medlarstall/dispatch/crash_ledger.hpp>
 
+#include <medlarstall/support/digest.hpp>
+
 #include <algorithm>
-#include <functional>
 
 namespace medlarstall::dispatch {
 
@@ -15,7 +16,7 @@
 std::uint64_t crash_number(std::string_view backend_server, time_point now)
 {
     auto const span = now.time_since_epoch() / same_crash;
-    return std::hash<std::string_view>{}(backend_server) ^
+    return hash64(backend_server) ^
            (static_cast<std::uint64_t>(span) * 0x9e3779b97f4a7c15ULL);
 }
 
--- a/src/libdispatch/src/dispatcher_choice.cpp
+++ b/src/libdispatch/src/dispatcher_choice.cpp
@@ -2,6 +2,8 @@
 
 #include <medlarstall/dispatch/dispatcher.hpp>
 
+#include <medlarstall/support/digest.hpp>
+
 #include <algorithm>
 #include <functional>
 #include <utility>
@@ -56,7 +58,7 @@
                 continue;
             }
             known_server const known{&belief->second, &record->second,
-                                     std::hash<std::string>{}(id)};
+                                     hash64(id)};
             divided.all.push_back(known);
             if (std::ranges::binary_search(own, id)) {
                 divided.in_cell.push_back(known);
--- a/src/libdispatch/src/fleet_cells.cpp
+++ b/src/libdispatch/src/fleet_cells.cpp
@@ -1,7 +1,8 @@
 #include <medlarstall/dispatch/fleet_cells.hpp>
 
+#include <medlarstall/support/digest.hpp>
+
 #include <algorithm>
-#include <functional>
 #include <string_view>
 #include <utility>
 
@@ -15,8 +16,7 @@
 void sort_by_hash(std::vector<std::string>& names)
 {
     std::ranges::sort(names, {}, [](std::string const& name) {
-        return std::pair{std::hash<std::string>{}(name),
-                         std::string_view{name}};
+        return std::pair{hash64(name), std::string_view{name}};
     });
 }
 
