Let three daemons read the store, and tell members on as the lists are

Every daemon followed the list of members by itself, so each start and stop woke all of them; every daemon read all the time in its first second; every daemon looked for itself each 12 s.

Change: members are a ledger like the others: told on by offset and fetched from a daemon that is ahead, once a second at most. A daemon reads each ledger once at its start and goes on only if, after a second, it has not heard of enough readers; three read in a fleet of one cell. Others look for themselves once a minute. Only daemons heard of in the last second are asked for records.

--- a/src/libgateway/include/medlarstall/gateway/fetch_turns.hpp
+++ b/src/libgateway/include/medlarstall/gateway/fetch_turns.hpp
@@ -3,6 +3,7 @@
 
 #include <medlarstall/support/time.hpp>
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -17,7 +18,10 @@
 {
 public:
     /// \param seed number of this daemon
-    explicit fetch_turns(std::uint64_t seed) : turn_{seed} {}
+    /// \param least_interval from the begin of a fetch to that of the next
+    fetch_turns(std::uint64_t seed, std::chrono::milliseconds least_interval)
+        : turn_{seed}, least_interval_{least_interval}
+    {}
 
     /// Takes the next turn.
     /// \param ahead number of daemons that are ahead
@@ -32,6 +36,7 @@
 
 private:
     std::uint64_t turn_;
+    std::chrono::milliseconds least_interval_;
     bool running_ = false;
     time_point not_before_;
 };
--- a/src/libgateway/include/medlarstall/gateway/gateway.hpp
+++ b/src/libgateway/include/medlarstall/gateway/gateway.hpp
@@ -161,6 +161,7 @@
     bool tells_all_changes() const;
     void choose_readers(time_point now);
     void fetch_from_peers(time_point now);
+    fetch_turns& turns_of(ledger which);
     void fetch(ledger which, std::vector<std::string> const& ahead,
                time_point now);
     void on_peer_records(ledger which, std::string const& address,
@@ -206,6 +207,7 @@
     std::optional<std::chrono::nanoseconds> asleep_; ///< Since the boot.
     fetch_turns configuration_turns_;
     fetch_turns servers_turns_;
+    fetch_turns members_turns_;
     time_point next_lost_check_;
     bool first_reader_ = false; ///< Of the cell, by name.
     time_point started_;
--- a/src/libgateway/include/medlarstall/gateway/peer_news.hpp
+++ b/src/libgateway/include/medlarstall/gateway/peer_news.hpp
@@ -31,6 +31,7 @@
     std::uint64_t configuration_offset = 0;
     std::uint64_t servers_offset = 0;
     std::uint64_t servers_changed = 0; ///< Behind what matters of them.
+    std::uint64_t members_offset = 0;
     std::vector<dispatch::load_note> loads;
     std::vector<prompt_note> prompts;
     std::vector<dispatch::crash_note> crashes;
--- a/src/libgateway/include/medlarstall/gateway/record_follower.hpp
+++ b/src/libgateway/include/medlarstall/gateway/record_follower.hpp
@@ -20,8 +20,7 @@
 struct follow_settings
 {
     std::chrono::milliseconds wait{2500}; ///< For the next record.
-    std::chrono::milliseconds seldom{
-        12000};                         ///< Between reads while peers read.
+    std::chrono::milliseconds seldom{60000}; ///< While other daemons read.
     std::chrono::milliseconds pause{0}; ///< Between reads that found some.
     std::chrono::milliseconds first_backoff{100};
     std::chrono::milliseconds longest_backoff{800};
@@ -131,7 +130,7 @@
     std::uint64_t turn_ = 0;
     bool forgotten_ = false; ///< A whole read must make up for a gap.
     bool reachable_ = false;
-    bool eager_ = true;
+    bool eager_ = false;
     bool told_ = false;
     bool stopped_ = false;
 };
--- a/src/libgateway/src/fetch_turns.cpp
+++ b/src/libgateway/src/fetch_turns.cpp
@@ -2,19 +2,13 @@
 
 namespace medlarstall::gateway {
 
-namespace {
-
-constexpr std::chrono::milliseconds least_interval{250};
-
-} // namespace
-
 std::optional<std::size_t> fetch_turns::next(std::size_t ahead, time_point now)
 {
     if (running_ || ahead == 0 || now < not_before_) {
         return std::nullopt;
     }
     running_ = true;
-    not_before_ = now + least_interval;
+    not_before_ = now + least_interval_;
     return static_cast<std::size_t>(turn_++ % ahead);
 }
 
--- a/src/libgateway/src/gateway.cpp
+++ b/src/libgateway/src/gateway.cpp
@@ -2,6 +2,8 @@
 
 #include "address_text.hpp"
 
+#include <medlarstall/support/digest.hpp>
+
 #include <functional>
 #include <utility>
 
@@ -12,6 +14,9 @@
 using std::chrono::milliseconds;
 
 constexpr std::size_t control_connections = 256;
+/// Least times between two fetches of records from other daemons.
+constexpr milliseconds list_fetching{250};
+constexpr milliseconds members_fetching{1000};
 
 follow_settings configuration_reading()
 {
@@ -60,8 +65,9 @@
       peers_{context, control_events(), control_connections},
       metrics_listener_{context, control_events(), control_connections},
       tick_timer_{context}, incarnation_{start_number()},
-      configuration_turns_{std::hash<std::string>{}(settings_.name)},
-      servers_turns_{std::hash<std::string>{}(settings_.name)}
+      configuration_turns_{hash64(settings_.name), list_fetching},
+      servers_turns_{hash64(settings_.name), list_fetching},
+      members_turns_{hash64(settings_.name), members_fetching}
 {}
 
 gateway::~gateway() = default;
@@ -340,8 +346,14 @@
 
 record_follower& gateway::follower_of(ledger which)
 {
-    return which == ledger::configuration ? *configuration_follower_
-                                          : *servers_follower_;
+    switch (which) {
+    case ledger::configuration:
+        return *configuration_follower_;
+    case ledger::backend_servers:
+        return *servers_follower_;
+    default:
+        return *members_follower_;
+    }
 }
 
 } // namespace medlarstall::gateway
--- a/src/libgateway/src/gateway_peers.cpp
+++ b/src/libgateway/src/gateway_peers.cpp
@@ -4,7 +4,9 @@
 
 #include "address_text.hpp"
 
-#include <functional>
+#include <medlarstall/support/digest.hpp>
+
+#include <algorithm>
 #include <utility>
 
 namespace medlarstall::gateway {
@@ -18,8 +20,12 @@
 constexpr int ok = 200;
 constexpr std::size_t most_prompts_told = 24;
 /// Daemons that read the store all the time.
-constexpr std::size_t most_readers = 5;
+constexpr std::size_t most_readers = 3;
 constexpr std::size_t most_readers_of_cell = 2; ///< If there are several.
+/// From the start until the other daemons should have been heard of.
+constexpr milliseconds settle_time{1000};
+/// A daemon that was heard of this lately is asked for records.
+constexpr milliseconds heard_lately{1000};
 /// Daemons that try while the store cannot be reached.
 constexpr std::size_t most_candidates = 12;
 
@@ -56,6 +62,7 @@
     news.servers_changed = tells_all_changes()
                                ? news.servers_offset
                                : servers_follower_->changed_to();
+    news.members_offset = members_follower_->offset();
     news.loads = dispatcher_.own_loads(news_sent_);
     news.prompts = prompts_to_tell_;
     news.crashes = crashes_to_tell_;
@@ -169,12 +176,11 @@
 /// centres. If those cannot reach it, some more try, but never all.
 void gateway::choose_readers(time_point now)
 {
-    std::hash<std::string> const order;
-    auto const own = order(settings_.name);
+    auto const own = hash64(settings_.name);
     std::size_t before = 0;
     std::size_t reading = 0;
     for (auto const* const peer : members_.live(now)) {
-        if (!peer->news.ready || order(peer->news.daemon) >= own) {
+        if (!peer->news.ready || hash64(peer->news.daemon) >= own) {
             continue;
         }
         ++before;
@@ -182,17 +188,28 @@
     }
     first_reader_ = before == 0;
     auto const enough = cell_.count == 1 ? most_readers : most_readers_of_cell;
-    auto const eager = reading < enough && before < most_candidates;
-    configuration_follower_->set_eager(eager);
-    servers_follower_->set_eager(eager);
+    auto const settled = now - started_ >= settle_time;
+    auto const eager =
+        settled && reading < enough && before < most_candidates;
+    for (auto const& follower :
+         {configuration_follower_, servers_follower_, members_follower_}) {
+        follower->set_eager(eager);
+    }
 }
 
 void gateway::fetch_from_peers(time_point now)
 {
     std::vector<std::string> ahead_in_configuration;
     std::vector<std::string> ahead_in_servers;
+    std::vector<std::string> ahead_in_members;
     for (auto const* const peer : members_.live(now)) {
         auto const& news = peer->news;
+        if (now - peer->heard > heard_lately) {
+            continue;
+        }
+        if (news.members_offset > members_follower_->offset()) {
+            ahead_in_members.push_back(peer->address);
+        }
         if (news.configuration_offset > configuration_follower_->offset()) {
             ahead_in_configuration.push_back(peer->address);
         }
@@ -207,13 +224,25 @@
     }
     fetch(ledger::configuration, ahead_in_configuration, now);
     fetch(ledger::backend_servers, ahead_in_servers, now);
+    fetch(ledger::members, ahead_in_members, now);
+}
+
+fetch_turns& gateway::turns_of(ledger which)
+{
+    switch (which) {
+    case ledger::configuration:
+        return configuration_turns_;
+    case ledger::backend_servers:
+        return servers_turns_;
+    default:
+        return members_turns_;
+    }
 }
 
 void gateway::fetch(ledger which, std::vector<std::string> const& ahead,
                     time_point now)
 {
-    auto& turns =
-        which == ledger::configuration ? configuration_turns_ : servers_turns_;
+    auto& turns = turns_of(which);
     auto const turn = turns.next(ahead.size(), now);
     if (!turn) {
         return;
--- a/src/libgateway/src/gateway_requests.cpp
+++ b/src/libgateway/src/gateway_requests.cpp
@@ -197,6 +197,9 @@
         answer.body = encode(servers_follower_->changes(
             after, tells_all_changes() ? change_choice::all
                                        : change_choice::that_matter));
+    } else if (name == name_of(ledger::members)) {
+        answer.body =
+            encode(members_follower_->changes(after, change_choice::all));
     } else {
         answer.head.status = not_found;
     }
--- a/src/libgateway/src/peer_news.cpp
+++ b/src/libgateway/src/peer_news.cpp
@@ -4,6 +4,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <cmath>
+
 namespace medlarstall::gateway {
 
 namespace {
@@ -17,14 +19,22 @@
     return bytes;
 }
 
+/// Fractions are sent as whole numbers of this part, which take fewer bytes.
+constexpr double fraction_unit = 0.01;
+
+std::int64_t in_units(double fraction)
+{
+    return std::lround(fraction / fraction_unit);
+}
+
 json write_load(dispatch::load_note const& note)
 {
     return json::array({note.backend_server,
                         static_cast<std::int64_t>(note.load.in_flight),
                         static_cast<std::int64_t>(note.load.prefill_tokens),
                         static_cast<std::int64_t>(note.load.memory_tokens),
-                        static_cast<float>(note.load.sensitive),
-                        static_cast<float>(note.load.reading_share)});
+                        in_units(note.load.sensitive),
+                        in_units(note.load.reading_share)});
 }
 
 dispatch::load_note read_load(json const& value)
@@ -34,8 +44,8 @@
     note.load.in_flight = value.at(1).get<double>();
     note.load.prefill_tokens = value.at(2).get<double>();
     note.load.memory_tokens = value.at(3).get<double>();
-    note.load.sensitive = value.at(4).get<double>();
-    note.load.reading_share = value.at(5).get<double>();
+    note.load.sensitive = value.at(4).get<double>() * fraction_unit;
+    note.load.reading_share = value.at(5).get<double>() * fraction_unit;
     return note;
 }
 
@@ -82,6 +92,7 @@
     news.configuration_offset = value.at("c").get<std::uint64_t>();
     news.servers_offset = value.at("b").get<std::uint64_t>();
     news.servers_changed = value.value("m", news.servers_offset);
+    news.members_offset = value.value("e", std::uint64_t{0});
     for (auto const& item : value.at("l")) {
         news.loads.push_back(read_load(item));
     }
@@ -143,6 +154,7 @@
                     {"c", news.configuration_offset},
                     {"b", news.servers_offset},
                     {"m", news.servers_changed},
+                    {"e", news.members_offset},
                     {"l", write_all(news.loads, write_load)},
                     {"p", write_all(news.prompts, write_prompt)},
                     {"x", write_all(news.crashes, crash)}});
--- a/tests/libgateway/gateway_test.cpp
+++ b/tests/libgateway/gateway_test.cpp
@@ -352,6 +352,43 @@
     BOOST_TEST(world.run_until(both_listed));
 }
 
+BOOST_AUTO_TEST_CASE(a_rolling_restart_does_not_make_all_daemons_read_the_store)
+{
+    // When 118 daemons were restarted in turn, each of them read the list of
+    // members again at each start and stop of another.
+    constexpr std::size_t daemons = 12;
+    constexpr std::size_t readers = 3;
+    gateway_world world{1};
+    world.configure(1);
+    std::vector<std::string> seeds;
+    for (std::size_t at = 0; at < daemons; ++at) {
+        auto const& address =
+            world.add_gateway(std::chrono::seconds{8}, seeds)
+                .settings()
+                .peer_address;
+        if (seeds.size() < readers) {
+            seeds.push_back("127.0.0.1:" + std::to_string(address.port()));
+        }
+    }
+    auto const pass = [&world](std::chrono::milliseconds span) {
+        auto const end = std::chrono::steady_clock::now() + span;
+        world.run_until(
+            [end] { return std::chrono::steady_clock::now() >= end; });
+    };
+    pass(std::chrono::milliseconds{4000});
+    auto const before = world.store.calls();
+    constexpr std::size_t restarts = 3;
+    for (std::size_t at = 0; at < restarts; ++at) {
+        world.store.put("keyed.medlarstall-members", "127.0.0.9:1", "x");
+        pass(std::chrono::milliseconds{600});
+        world.store.put("keyed.medlarstall-members", "127.0.0.9:1", {});
+        pass(std::chrono::milliseconds{600});
+    }
+    constexpr std::size_t ledgers = 3;
+    auto const seen_by_readers = readers * (2 * restarts + ledgers);
+    BOOST_TEST(world.store.calls() - before <= seen_by_readers);
+}
+
 BOOST_AUTO_TEST_CASE(requests_are_served_while_the_store_is_silent)
 {
     ready_world world{1};
--- a/tests/libgateway/pieces_test.cpp
+++ b/tests/libgateway/pieces_test.cpp
@@ -204,7 +204,7 @@
     std::vector<std::size_t> asked(8);
     for (int daemon = 0; daemon < 17; ++daemon) {
         auto const name = "edge-" + std::to_string(daemon);
-        fetch_turns turns{std::hash<std::string>{}(name)};
+        fetch_turns turns{std::hash<std::string>{}(name), 250ms};
         auto const first = turns.next(asked.size(), start);
         BOOST_REQUIRE(first.has_value());
         ++asked[*first];
@@ -220,7 +220,7 @@
 
 BOOST_AUTO_TEST_CASE(fetches_are_not_begun_faster_than_news_come)
 {
-    fetch_turns turns{1};
+    fetch_turns turns{1, 250ms};
     BOOST_TEST(!turns.next(0, start).has_value());
     BOOST_TEST(turns.next(1, start).has_value());
     turns.note_end();
--- a/tests/libgateway/record_follower_test.cpp
+++ b/tests/libgateway/record_follower_test.cpp
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <memory>
+#include <utility>
 
 using namespace medlarstall::gateway;
 
@@ -22,7 +23,8 @@
     bool reachable = false;
     std::shared_ptr<record_follower> follower;
 
-    scripted_store()
+    /// \param eager whether it reads all the time
+    explicit scripted_store(bool eager = true)
     {
         store.read_newest = [this](ledger, page_handler done) {
             asked_whole = true;
@@ -56,7 +58,10 @@
         follower = std::make_shared<record_follower>(
             context, ledger::backend_servers, store, settings,
             std::move(events));
-        follower->start();
+        follower->set_eager(eager);
+        if (!eager) {
+            follower->start();
+        }
     }
 
     /// Answers the pending question and lets the next one come.
@@ -93,6 +98,19 @@
     BOOST_TEST(!world.known.contains("b"));
 }
 
+BOOST_AUTO_TEST_CASE(while_others_read_it_reads_once_at_its_start)
+{
+    scripted_store world{false};
+    BOOST_TEST(world.asked_whole);
+    auto const handler = std::exchange(world.pending, nullptr);
+    handler(page({{"a", "1", 3}}, 4, true));
+    world.context.poll();
+    BOOST_TEST(world.known.at("a") == "1");
+    BOOST_TEST(!world.pending);
+    world.follower->set_eager(true);
+    BOOST_TEST(world.asked_from == 4U);
+}
+
 BOOST_AUTO_TEST_CASE(forgotten_records_are_made_up_for_by_a_whole_read)
 {
     scripted_store world;
--- a/tests/platform_standins/include/medlarstall/platform_standins/store_standin.hpp
+++ b/tests/platform_standins/include/medlarstall/platform_standins/store_standin.hpp
@@ -49,6 +49,9 @@
     /// \param mood how to treat callers from now on
     void set_mood(store_mood mood) { mood_ = mood; }
 
+    /// \return calls that it has received
+    [[nodiscard]] std::size_t calls() const { return calls_; }
+
     /// \param topic name of the topic
     /// \param key key of a record
     /// \return its newest value
@@ -80,6 +83,7 @@
     std::map<std::string, topic_log> topics_;
     std::vector<std::unique_ptr<http::exchange>> unanswered_;
     store_mood mood_ = store_mood::serving;
+    std::size_t calls_ = 0;
 };
 
 } // namespace medlarstall::platform_standins
--- a/tests/platform_standins/src/store_standin.cpp
+++ b/tests/platform_standins/src/store_standin.cpp
@@ -106,6 +106,7 @@
 
 void store_standin::on_request(std::unique_ptr<http::exchange> caller)
 {
+    ++calls_;
     if (mood_ == store_mood::silent) {
         unanswered_.push_back(std::move(caller));
         return;
