Notice an outage of the store also in daemons that do not read it

Cause: found while reading who reads the store. A daemon that does not read it kept what it had last heard, "reachable", and told so in its news, and readers trusted such news as well. With more than twelve daemons an outage was noticed by none: entries that lapsed meanwhile were taken for removals, and all daemons refused until the entries came back.

Ruled out: up to twelve daemons, all of which read when the store fails (the test passes with 6 on the code before).

Change: only a daemon that reads all the time and gets answers says that the store is reachable. The others believe it as long as they know all that one of those has read, and for 750 ms more.

Test: entries_that_lapse_in_an_outage_are_kept_by_all_daemons, 16 daemons: 16 of 16 refused before, none after.

--- a/src/libgateway/include/medlarstall/gateway/gateway.hpp
+++ b/src/libgateway/include/medlarstall/gateway/gateway.hpp
@@ -210,6 +210,7 @@
     std::uint64_t told_offsets_ = 0;
     bool told_ready_ = false;
     bool list_reachable_ = false;
+    time_point caught_up_; ///< With a daemon that reads the store.
     time_point news_sent_;
     time_point last_tick_;
     std::optional<std::chrono::nanoseconds> asleep_; ///< Since the boot.
--- a/src/libgateway/include/medlarstall/gateway/peer_news.hpp
+++ b/src/libgateway/include/medlarstall/gateway/peer_news.hpp
@@ -23,7 +23,7 @@
     std::uint64_t sequence = 0;    ///< Grows with each news of a start.
     std::string entry_address;     ///< Where it takes callers.
     bool ready = false;            ///< Takes new callers.
-    bool store_reachable = false;
+    bool store_reachable = false;  ///< It reads the store and gets answers.
     std::uint64_t configuration_offset = 0;
     std::uint64_t servers_offset = 0;
     std::uint64_t servers_changed = 0; ///< Behind what matters of them.
--- a/src/libgateway/include/medlarstall/gateway/record_follower.hpp
+++ b/src/libgateway/include/medlarstall/gateway/record_follower.hpp
@@ -94,6 +94,10 @@
     /// \return true if the last read from the store brought an answer
     [[nodiscard]] bool store_reachable() const { return reachable_; }
 
+    /// \return true if it reads all the time and gets answers, so that it would
+    ///     notice an outage
+    [[nodiscard]] bool reads_store() const { return eager_ && reachable_; }
+
     /// \return when the ledger was last known to be current
     [[nodiscard]] time_point read_at() const { return read_at_; }
 
--- a/src/libgateway/src/gateway_peers.cpp
+++ b/src/libgateway/src/gateway_peers.cpp
@@ -24,6 +24,8 @@
 constexpr std::size_t most_readers_of_cell = 2; ///< If there are several.
 /// From the start until the other daemons should have been heard of.
 constexpr milliseconds settle_time{1000};
+/// What another daemon has read is known this soon, while all is well.
+constexpr milliseconds catch_up_time{750};
 /// A daemon that was heard of this lately is asked for records.
 constexpr milliseconds heard_lately{1000};
 /// Daemons that try while the store cannot be reached.
@@ -31,14 +33,18 @@
 
 } // namespace
 
+/// The list can be read as long as this daemon reads it, or knows all that one
+/// that does has read.
 void gateway::update_list_reachable(time_point now)
 {
-    auto reachable = servers_follower_->store_reachable();
+    auto const known = servers_follower_->offset();
     for (auto const* const peer : members_.live(now)) {
-        reachable = reachable ||
-                    (peer->news.store_reachable &&
-                     peer->news.servers_offset <= servers_follower_->offset());
+        if (peer->news.store_reachable && peer->news.servers_offset <= known) {
+            caught_up_ = now;
+        }
     }
+    auto const reachable =
+        servers_follower_->reads_store() || now - caught_up_ < catch_up_time;
     if (reachable != list_reachable_) {
         list_reachable_ = reachable;
         decision_line{log_, line_kind::belief, "list"}
@@ -56,7 +62,7 @@
     news.sequence = news_sequence_;
     news.entry_address = text_of(settings_.entry_address);
     news.ready = is_ready();
-    news.store_reachable = servers_follower_->store_reachable();
+    news.store_reachable = servers_follower_->reads_store();
     news.configuration_offset = configuration_follower_->offset();
     news.servers_offset = servers_follower_->offset();
     news.servers_changed = tells_all_changes()
