--- a/src/libcli/src/gateway_command.cpp
+++ b/src/libcli/src/gateway_command.cpp
@@ -17,8 +17,8 @@
     out << "\nbackend servers, as " << cell(status, "daemon") << " sees them\n"
         << table_of(status.value("backend_servers", json::array()),
                     {"id", "service", "data_centre", "health", "draining",
-                     "lapsing", "slots", "in_flight", "prompt_tokens",
-                     "entry_age_ms"})
+                     "leaving", "lapsing", "slots", "in_flight",
+                     "prompt_tokens", "entry_age_ms"})
         << "\nother daemons, as " << cell(status, "daemon") << " hears them\n"
         << table_of(status.value("peers", json::array()),
                     {"daemon", "address", "ready", "store_reachable",
--- a/src/libdispatch/include/medlarstall/dispatch/dispatcher.hpp
+++ b/src/libdispatch/include/medlarstall/dispatch/dispatcher.hpp
@@ -6,6 +6,7 @@
 #include <medlarstall/dispatch/listed_servers.hpp>
 #include <medlarstall/dispatch/part_cache.hpp>
 #include <medlarstall/dispatch/placement_cost.hpp>
+#include <medlarstall/dispatch/requested_pause.hpp>
 #include <medlarstall/dispatch/retry_window.hpp>
 #include <medlarstall/dispatch/server_health.hpp>
 #include <medlarstall/routes/route_table.hpp>
@@ -92,6 +93,13 @@
     std::vector<prompt_part> parts;
 };
 
+/// A start of a backend server that has said that it leaves.
+struct leaving_note
+{
+    std::string backend_server;
+    std::int64_t started_unix_ms = 0; ///< As its entry in the list says.
+};
+
 /// Load figures that a backend server sends along with its answers.
 struct reported_load
 {
@@ -139,6 +147,11 @@
     /// \param now current time
     void set_list_reachable(bool reachable, time_point now);
 
+    /// Notes that the list has come back from an older copy: entries that it
+    /// lacks have time to be written again.
+    /// \param now current time
+    void note_list_restored(time_point now);
+
     /// Chooses a backend server.
     /// \param wanted request to place
     /// \param now current time
@@ -172,6 +185,41 @@
     void note_report(std::string_view id, reported_load const& load,
                      time_point now);
 
+    /// Notes that a backend server has said that it leaves. Its start gets
+    /// nothing any more.
+    /// \param id backend server
+    /// \param now current time
+    /// \return true if that was not known
+    bool note_leaving(std::string_view id, time_point now);
+
+    /// Takes in that another daemon was told that a backend server leaves.
+    /// \param note which start
+    /// \return true if that was not known
+    bool merge_leaving(leaving_note const& note);
+
+    /// \param since a time
+    /// \return backend servers that have said to this daemon after it that
+    ///     they leave
+    [[nodiscard]] std::vector<leaving_note>
+    leaving_since(time_point since) const;
+
+    /// \param id backend server
+    /// \return true if it has said that it leaves
+    [[nodiscard]] bool is_leaving(std::string_view id) const;
+
+    /// Notes that a backend server wants nothing from this daemon for a while.
+    /// \param id backend server
+    /// \param wanted how long
+    /// \param now current time
+    void note_pause(std::string_view id, duration wanted, time_point now);
+
+    /// \param service name of a service
+    /// \param now current time
+    /// \return time until the first of its backend servers that could be used
+    ///     wants requests again; zero if one does, or none could be used
+    [[nodiscard]] duration pause_left(std::string_view service,
+                                      time_point now) const;
+
     /// \param id backend server
     /// \return its health as seen on connections, or nullptr if it is unknown
     [[nodiscard]] server_health* health_of(std::string_view id);
@@ -268,6 +316,9 @@
         double slowness = 1.0;
         double latency_ms = 10.0;
         time_point reading_updated;
+        requested_pause pause;
+        bool leaving = false;
+        std::optional<time_point> said_leaving; ///< To this daemon.
     };
     /// A listed backend server with all that is known of it.
     struct known_server
@@ -307,7 +358,7 @@
                     server_record const& record, work const& wanted,
                     comparison const& others, time_point now) const;
     static bool may_use(known_server const& server, work const& wanted,
-                        health worst);
+                        health worst, time_point now);
     void divide_servers();
     std::optional<placement> choose_among(known_servers const& among,
                                           work const& wanted, health worst,
--- a/src/libdispatch/include/medlarstall/dispatch/listed_servers.hpp
+++ b/src/libdispatch/include/medlarstall/dispatch/listed_servers.hpp
@@ -72,6 +72,11 @@
     /// \param now current time
     void set_reachable(bool reachable, time_point now);
 
+    /// Notes that the list has come back from an older copy. An entry that it
+    /// lacks stays believed until it had time to be written again.
+    /// \param now current time
+    void note_restored(time_point now) { note_return(now); }
+
     /// Drops the entries whose time to come back has passed.
     /// \param now current time
     /// \param dropped told the id of each
@@ -94,6 +99,7 @@
 
     bool is_older(backend_server_entry const& entry) const;
     bool in_outage(time_point now) const;
+    void note_return(time_point now);
     void bury(backend_server_entry const& entry, time_point now);
 
     lapse_settings settings_;
--- a/src/libdispatch/src/dispatcher.cpp
+++ b/src/libdispatch/src/dispatcher.cpp
@@ -89,6 +89,11 @@
     list_.set_reachable(reachable, now);
 }
 
+void dispatcher::note_list_restored(time_point now)
+{
+    list_.note_restored(now);
+}
+
 void dispatcher::expire(time_point now,
                         std::function<void(std::string const&)> const& dropped)
 {
@@ -225,6 +230,68 @@
     }
 }
 
+bool dispatcher::note_leaving(std::string_view id, time_point now)
+{
+    auto const found = records_.find(id);
+    if (found == records_.end()) {
+        return false;
+    }
+    found->second.said_leaving = now;
+    return !std::exchange(found->second.leaving, true);
+}
+
+bool dispatcher::merge_leaving(leaving_note const& note)
+{
+    auto const* const entry = find(note.backend_server);
+    auto const found = records_.find(note.backend_server);
+    if (entry == nullptr || found == records_.end() ||
+        entry->started_unix_ms != note.started_unix_ms) {
+        return false;
+    }
+    return !std::exchange(found->second.leaving, true);
+}
+
+std::vector<leaving_note> dispatcher::leaving_since(time_point since) const
+{
+    std::vector<leaving_note> notes;
+    for (auto const& [id, record] : records_) {
+        auto const* const entry = find(id);
+        if (entry != nullptr && record.said_leaving > since) {
+            notes.push_back({id, entry->started_unix_ms});
+        }
+    }
+    return notes;
+}
+
+bool dispatcher::is_leaving(std::string_view id) const
+{
+    auto const* const record = find_record(id);
+    return record != nullptr && record->leaving;
+}
+
+void dispatcher::note_pause(std::string_view id, duration wanted,
+                            time_point now)
+{
+    auto const found = records_.find(id);
+    if (found != records_.end()) {
+        found->second.pause.note(wanted, now);
+    }
+}
+
+duration dispatcher::pause_left(std::string_view service, time_point now) const
+{
+    std::optional<duration> least;
+    for (auto const& [id, belief] : list_.all()) {
+        auto const* const record = find_record(id);
+        if (belief.entry.service == service && !belief.entry.draining &&
+            record != nullptr && !record->leaving) {
+            auto const left = record->pause.left(now);
+            least = std::min(left, least.value_or(left));
+        }
+    }
+    return least.value_or(duration::zero());
+}
+
 server_health* dispatcher::health_of(std::string_view id)
 {
     auto const found = records_.find(id);
@@ -251,7 +318,9 @@
             continue;
         }
         auto const* const entry = find(id);
-        if (entry != nullptr && !entry->draining &&
+        auto const wanted =
+            !record.leaving && record.pause.left(now) == duration::zero();
+        if (entry != nullptr && !entry->draining && wanted &&
             record.state.take_probe(now)) {
             due.push_back(*entry);
         }
--- a/src/libdispatch/src/dispatcher_choice.cpp
+++ b/src/libdispatch/src/dispatcher_choice.cpp
@@ -84,7 +84,7 @@
     auto const first = wanted.asked->parts.front().id;
     std::vector<std::pair<std::uint64_t, server_record const*>> homes;
     for (auto const& server : among) {
-        if (!may_use(server, wanted, worst)) {
+        if (!may_use(server, wanted, worst, now)) {
             continue;
         }
         auto const& parts = server.record->parts;
@@ -162,10 +162,13 @@
 }
 
 bool dispatcher::may_use(known_server const& server, work const& wanted,
-                         health worst)
+                         health worst, time_point now)
 {
     auto const& entry = server.belief->entry;
-    return !entry.draining && server.record->state.state() <= worst &&
+    auto const& record = *server.record;
+    return !entry.draining && !record.leaving &&
+           record.state.state() <= worst &&
+           record.pause.admits(record.own.in_flight, now) &&
            std::ranges::find(wanted.excluded, entry.id) ==
                wanted.excluded.end();
 }
@@ -179,7 +182,7 @@
     std::size_t candidates = 0;
     auto const others = compare(among, wanted, worst, now);
     for (auto const& server : among) {
-        if (!may_use(server, wanted, worst)) {
+        if (!may_use(server, wanted, worst, now)) {
             continue;
         }
         ++candidates;
--- a/src/libdispatch/src/listed_servers.cpp
+++ b/src/libdispatch/src/listed_servers.cpp
@@ -105,16 +105,21 @@
 void listed_servers::set_reachable(bool reachable, time_point now)
 {
     if (reachable && !reachable_) {
-        returned_ = now;
-        for (auto& [id, belief] : servers_) {
-            if (belief.lapses) {
-                belief.lapses = now + settings_.hold;
-            }
-        }
+        note_return(now);
     }
     reachable_ = reachable;
 }
 
+void listed_servers::note_return(time_point now)
+{
+    returned_ = now;
+    for (auto& [id, belief] : servers_) {
+        if (belief.lapses) {
+            belief.lapses = now + settings_.hold;
+        }
+    }
+}
+
 void listed_servers::expire(
     time_point now, std::function<void(std::string const&)> const& dropped)
 {
--- a/src/libgateway/include/medlarstall/gateway/forwarded_request.hpp
+++ b/src/libgateway/include/medlarstall/gateway/forwarded_request.hpp
@@ -34,13 +34,15 @@
     wire_protocol const& protocol;
     /// Number of daemons that share budgets.
     std::function<std::size_t()> daemons;
-    /// Offset and age of the list of backend servers, for log lines.
-    std::function<std::uint64_t()> list_offset;
+    /// Position up to which the list of backend servers is known.
+    std::function<store_position()> list_position;
     /// Tells the other daemons of a prompt that was sent, at once if its
     /// shared parts are new to that backend server.
     std::function<void(prompt_note, bool)> tell_prompt;
     /// Notes that a backend server could not be reached.
     std::function<void(std::string const&)> note_unreachable;
+    /// Takes in what a backend server says of itself along with an answer.
+    std::function<void(std::string const&, answer_facts const&)> note_wishes;
 };
 
 /// A request with the route and the configuration that it began under.
@@ -115,6 +117,7 @@
     std::string request_text(dispatch::placement const& where) const;
     http::call_events events_of_send(std::uint64_t number);
     bool belongs(http::response_head const& head) const;
+    void on_interim(http::response_head const& head);
     void on_head(http::response_head& head);
     void on_body(std::string const& bytes);
     void on_complete();
@@ -147,6 +150,8 @@
     std::chrono::milliseconds longest_silence() const;
     std::chrono::milliseconds
     return_after(std::chrono::milliseconds base) const;
+    std::chrono::milliseconds
+    return_when_wanted(std::chrono::milliseconds least) const;
     std::uint64_t make_fingerprint() const;
 
     request_context& shared_;
--- a/src/libgateway/include/medlarstall/gateway/gateway.hpp
+++ b/src/libgateway/include/medlarstall/gateway/gateway.hpp
@@ -134,6 +134,8 @@
     void on_configuration(record const& item);
     bool on_backend_server(record const& item);
     void on_member(record const& item);
+    void on_store_restored(ledger which, std::uint64_t era);
+    void restore_registration();
     void on_store_reachable(ledger which, bool reachable, char const* reason);
     void log_list_change(std::string const& id, dispatch::list_change change,
                          std::uint64_t offset);
@@ -158,6 +160,8 @@
     void on_probe(std::string const& id, bool good, char const* reason);
     void on_unreachable(std::string const& id);
     void note_down(std::string const& id, time_point now);
+    void note_wishes(std::string const& id, answer_facts const& facts);
+    void log_leaving(std::string const& id, std::string const& told_by);
     void log_health(std::string const& id, dispatch::health before,
                     dispatch::health after, char const* reason);
     void update_list_reachable(time_point now);
@@ -207,9 +211,14 @@
     std::vector<dispatch::crash_note> crashes_to_tell_;
     std::uint64_t incarnation_ = 0;
     std::uint64_t news_sequence_ = 0;
-    std::uint64_t told_offsets_ = 0;
+    store_position told_configuration_;
     bool told_ready_ = false;
     bool list_reachable_ = false;
+    std::string configuration_key_; ///< Of the record in force.
+    /// The configuration in force if the restored store holds an older one.
+    std::optional<std::string> outlasting_configuration_;
+    std::optional<time_point> members_restored_;
+    bool registration_doubtful_ = false; ///< In the list of members.
     time_point caught_up_; ///< With a daemon that reads the store.
     time_point news_sent_;
     time_point last_tick_;
--- a/src/libgateway/include/medlarstall/gateway/gateway_metrics.hpp
+++ b/src/libgateway/include/medlarstall/gateway/gateway_metrics.hpp
@@ -29,6 +29,10 @@
     /// \param outcome how it ended, a word from a fixed set
     void count_send(std::string const& outcome);
 
+    /// Counts a change of what the daemon believes.
+    /// \param event what has changed, a word from a fixed set
+    void count_belief(std::string const& event);
+
     /// Records the time to the first piece of an answer.
     /// \param kind kind of the route
     /// \param took time since the request was read
--- a/src/libgateway/include/medlarstall/gateway/member_table.hpp
+++ b/src/libgateway/include/medlarstall/gateway/member_table.hpp
@@ -63,6 +63,11 @@
     /// \return true if the daemon is listed
     [[nodiscard]] bool knows(std::string const& address) const;
 
+    /// \param address where a daemon takes news
+    /// \param now current time
+    /// \return true if it was heard of lately
+    [[nodiscard]] bool hears(std::string const& address, time_point now) const;
+
     /// \param now current time
     /// \return daemons heard of lately
     [[nodiscard]] std::vector<member const*> live(time_point now) const;
@@ -93,6 +98,7 @@
     entries(std::string const& own, std::size_t most, time_point now) const;
 
 private:
+    bool is_live(member const& item, time_point now) const;
     duration silence_of(std::string const& address, time_point now) const;
 
     member_settings settings_;
--- a/src/libgateway/include/medlarstall/gateway/peer_news.hpp
+++ b/src/libgateway/include/medlarstall/gateway/peer_news.hpp
@@ -24,10 +24,12 @@
     std::string entry_address;     ///< Where it takes callers.
     bool ready = false;            ///< Takes new callers.
     bool store_reachable = false;  ///< It reads the store and gets answers.
-    std::uint64_t configuration_offset = 0;
-    std::uint64_t servers_offset = 0;
-    std::uint64_t servers_changed = 0; ///< Behind what matters of them.
-    std::uint64_t members_offset = 0;
+    std::uint64_t configuration_version = 0; ///< In force; 0: none.
+    store_position configuration; ///< Up to which the ledgers are known.
+    store_position servers;
+    store_position servers_changed; ///< Behind what matters of them.
+    store_position members;
+    std::vector<dispatch::leaving_note> leaving;
     std::vector<dispatch::load_note> loads;
     std::vector<prompt_note> prompts;
     std::vector<dispatch::crash_note> crashes;
--- a/src/libgateway/include/medlarstall/gateway/record_follower.hpp
+++ b/src/libgateway/include/medlarstall/gateway/record_follower.hpp
@@ -38,11 +38,14 @@
 {
     /// \return true if it matters to other daemons
     std::function<bool(record const&)> changed;
+    /// The store has come back from an older copy; told before its records.
+    std::function<void(std::uint64_t era)> restored;
     std::function<void(bool, char const*)> reachable; ///< And the reason.
 };
 
 /// Keeps the newest records of a ledger, from the store and from peers. A key
-/// never goes back to an earlier record. Owned by the gateway.
+/// never goes back to an earlier record of the same era, and a new era is begun
+/// with all its records. Owned by the gateway.
 class record_follower : public std::enable_shared_from_this<record_follower>
 {
 public:
@@ -75,21 +78,31 @@
 
     /// Takes in that nothing that matters stands before an offset, as another
     /// daemon has read.
-    /// \param offset where to go on reading
-    void skip_to(std::uint64_t offset);
+    /// \param next where to go on reading; of another era it counts for
+    ///     nothing
+    void skip_to(store_position next);
 
-    /// \param after offset up to which the asker knows the ledger
+    /// \param after position up to which the asker knows the ledger
     /// \param which whether records that do not matter are left out
     /// \return the newest records of the keys that have changed since, or of
     ///     all keys where the changes are not known
-    [[nodiscard]] record_page changes(std::uint64_t after,
+    [[nodiscard]] record_page changes(store_position after,
                                       change_choice which) const;
 
-    /// \return offset up to which the ledger is known; 0 if nothing is
-    [[nodiscard]] std::uint64_t offset() const { return next_.value_or(0); }
+    /// \return position up to which the ledger is known; the first one if
+    ///     nothing is
+    [[nodiscard]] store_position position() const
+    {
+        return next_.value_or(store_position{});
+    }
+
+    /// \return position behind the last record that matters
+    [[nodiscard]] store_position changed_to() const { return changed_to_; }
 
-    /// \return offset behind the last record that matters
-    [[nodiscard]] std::uint64_t changed_to() const { return changed_to_; }
+    /// \param key a key
+    /// \return its value, as far as known
+    [[nodiscard]] std::optional<std::string>
+    value_of(std::string const& key) const;
 
     /// \return true if the last read from the store brought an answer
     [[nodiscard]] bool store_reachable() const { return reachable_; }
@@ -106,8 +119,8 @@
     void on_result(std::uint64_t turn, page_result outcome);
     void on_failure(store_failure failure);
     void take(record_page const& page);
-    void take_missing(record_page const& page, std::uint64_t known_to);
-    void take_record(record const& item);
+    void take_missing(record_page const& page);
+    void take_record(record const& item, store_position behind);
     void schedule(std::chrono::milliseconds delay);
     void set_reachable(bool reachable, char const* reason);
 
@@ -115,7 +128,8 @@
     struct kept_record
     {
         record item;
-        std::uint64_t changed = 0; ///< Offset.
+        store_position behind;  ///< Where to read on after it.
+        store_position changed; ///< The same of its last change that matters.
     };
 
     void keep(kept_record& kept);
@@ -126,9 +140,10 @@
     follow_events events_;
     asio::steady_timer timer_;
     std::map<std::string, kept_record> newest_;
-    std::optional<std::uint64_t> next_;
-    std::uint64_t changed_to_ = 0;
-    std::uint64_t complete_from_ = 0; ///< Every change since is known.
+    std::optional<store_position> next_;
+    store_position asked_from_; ///< Of the read that is under way.
+    store_position changed_to_;
+    store_position complete_from_; ///< Every change since is known.
     std::chrono::milliseconds backoff_;
     time_point read_at_;
     std::uint64_t turn_ = 0;
--- a/src/libgateway/include/medlarstall/gateway/record_store.hpp
+++ b/src/libgateway/include/medlarstall/gateway/record_store.hpp
@@ -2,6 +2,7 @@
 #define MEDLARSTALL_GATEWAY_RECORD_STORE_HPP
 
 #include <chrono>
+#include <compare>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -23,12 +24,22 @@
 /// \return its name for log lines
 [[nodiscard]] char const* name_of(ledger which);
 
+/// A place in a ledger. A store that comes back from an older copy of itself
+/// gives out offsets again, in a new era. Ordered by era, then by offset.
+struct store_position
+{
+    std::uint64_t era = 0;
+    std::uint64_t offset = 0;
+
+    auto operator<=>(store_position const&) const = default;
+};
+
 /// The newest value of a key, or its removal.
 struct record
 {
     std::string key;
     std::optional<std::string> value;
-    std::uint64_t offset = 0; ///< Order of all changes of the ledger.
+    std::uint64_t offset = 0; ///< Order of all changes of an era.
 };
 
 /// Records read from a ledger.
@@ -37,6 +48,10 @@
     std::vector<record> records;
     std::uint64_t next_offset = 0; ///< Where to go on reading.
     bool whole = false;            ///< Names every key that exists.
+    std::uint64_t era = 0;         ///< Of all its offsets.
+
+    /// \return where to go on reading
+    [[nodiscard]] store_position next() const { return {era, next_offset}; }
 };
 
 /// Why the store gave no records.
@@ -44,7 +59,8 @@
 {
     unreachable, ///< No answer in time, or the connection failed.
     turned_away, ///< It answered that it does not serve us now.
-    forgotten    ///< The records asked for are no longer kept.
+    forgotten,   ///< The records asked for are no longer kept.
+    outdated     ///< The answer is from before the store was restored.
 };
 
 /// \param failure why there are no records
--- a/src/libgateway/include/medlarstall/gateway/wire_protocol.hpp
+++ b/src/libgateway/include/medlarstall/gateway/wire_protocol.hpp
@@ -42,6 +42,9 @@
     bool not_run = false; ///< The backend server did not and will not run it.
     std::optional<dispatch::reported_load> load;
     std::optional<std::string> backend_server;
+    bool leaving = false; ///< It takes nothing new and will end.
+    /// It turned the request away and wants nothing for so long.
+    std::optional<std::chrono::milliseconds> pause;
 };
 
 /// An answer that the gateway gives itself.
--- a/src/libgateway/src/forwarded_request.cpp
+++ b/src/libgateway/src/forwarded_request.cpp
@@ -132,7 +132,8 @@
     } else if (attempts_.may_have_run) {
         give_up(bad_gateway, "no_other_backend_server");
     } else {
-        refuse("no_backend_server", dispatch::no_server_return);
+        refuse("no_backend_server",
+               return_when_wanted(dispatch::no_server_return));
     }
 }
 
@@ -195,6 +196,7 @@
         auto const news = where.cached_tokens < wanted.asked->shared_tokens();
         shared_.tell_prompt({where.backend_server, wanted.asked->parts}, news);
     }
+    auto const list = shared_.list_position();
     decision_line{shared_.log, line_kind::success, "send"}
         .with("id", request_.facts.attempt_id)
         .with("server", where.backend_server)
@@ -208,7 +210,8 @@
         .with("copied_tokens", where.copied_tokens)
         .with("in_flight", static_cast<std::int64_t>(where.in_flight))
         .with("health", name_of(where.state))
-        .with("list", shared_.list_offset())
+        .with("list_era", list.era)
+        .with("list", list.offset)
         .with("entry_age", where.entry_age)
         .with("waited", now - began_)
         .with("left", time_left(now));
@@ -232,6 +235,11 @@
         auto const self = current();
         return self && self->belongs(head);
     };
+    events.interim = [current](http::response_head const& head) {
+        if (auto const self = current()) {
+            self->on_interim(head);
+        }
+    };
     events.head = [current](http::response_head& head, http::body_framing) {
         if (auto const self = current()) {
             self->on_head(head);
@@ -320,7 +328,7 @@
         look_for_server();
         break;
     case dispatch::next_step::refuse:
-        refuse("not_run", dispatch::turned_away_return);
+        refuse("not_run", return_when_wanted(dispatch::turned_away_return));
         break;
     case dispatch::next_step::give_up:
         if (caller_->begun()) {
--- a/src/libgateway/src/forwarded_request_end.cpp
+++ b/src/libgateway/src/forwarded_request_end.cpp
@@ -3,6 +3,7 @@
 
 #include <medlarstall/gateway/forwarded_request.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace medlarstall::gateway {
@@ -30,6 +31,14 @@
     return base + extra / static_cast<std::int64_t>(spread_percent);
 }
 
+/// \return when a backend server may be expected to take the request
+milliseconds forwarded_request::return_when_wanted(milliseconds least) const
+{
+    auto const paused =
+        shared_.dispatcher.pause_left(service_, decision_clock::now());
+    return std::max(least, whole_ms(paused));
+}
+
 void forwarded_request::refuse(char const* code, milliseconds retry_after)
 {
     answer_own(unavailable, code, return_after(retry_after));
--- a/src/libgateway/src/gateway.cpp
+++ b/src/libgateway/src/gateway.cpp
@@ -17,6 +17,8 @@
 /// Least times between two fetches of records from other daemons.
 constexpr milliseconds list_fetching{250};
 constexpr milliseconds members_fetching{1000};
+/// Daemons write their entries again this soon after a return of the store.
+constexpr milliseconds rewriting_time{10000};
 
 follow_settings configuration_reading()
 {
@@ -84,15 +86,16 @@
                 return cell_.count *
                        members_.sharing(cell_addresses_, decision_clock::now());
             },
-            [this] { return servers_follower_->offset(); },
+            [this] { return servers_follower_->position(); },
             [this](prompt_note note, bool urgent) {
                 prompts_to_tell_.push_back(std::move(note));
                 if (urgent) {
                     send_news(decision_clock::now(), true);
                 }
             },
-            [this](std::string const& id) {
-                on_unreachable(id);
+            [this](std::string const& id) { on_unreachable(id); },
+            [this](std::string const& id, answer_facts const& facts) {
+                note_wishes(id, facts);
             }};
 }
 
@@ -156,6 +159,9 @@
                              auto changed) {
         follow_events events;
         events.changed = changed;
+        events.restored = [this, which](std::uint64_t era) {
+            on_store_restored(which, era);
+        };
         events.reachable = [this, which](bool reachable, char const* reason) {
             on_store_reachable(which, reachable, reason);
         };
@@ -256,6 +262,8 @@
     if (table_ && content.version <= table_->version()) {
         return;
     }
+    configuration_key_ = item.key;
+    outlasting_configuration_.reset();
     auto const limits = content.limits;
     decision_line{log_, line_kind::belief, "configuration"}
         .with("version", content.version)
@@ -319,13 +327,15 @@
 {
     auto const own = text_of(settings_.peer_address);
     if (item.key == own) {
-        if (!item.value && !stopping_since_) {
-            register_member(true);
-        }
+        registration_doubtful_ = registration_doubtful_ || !item.value;
         return;
     }
+    auto const now = decision_clock::now();
     if (item.value) {
-        members_.add(item.key, decision_clock::now());
+        members_.add(item.key, now);
+    } else if (members_restored_ && now - *members_restored_ < rewriting_time &&
+               members_.hears(item.key, now)) {
+        return; // It runs, and will write its entry again.
     } else {
         members_.remove(item.key);
     }
@@ -335,6 +345,30 @@
         .with("offset", item.offset);
 }
 
+/// Takes in what a backend server says of itself along with an answer.
+void gateway::note_wishes(std::string const& id, answer_facts const& facts)
+{
+    auto const now = decision_clock::now();
+    if (facts.leaving && dispatcher_.note_leaving(id, now)) {
+        log_leaving(id, settings_.name);
+    }
+    if (facts.pause) {
+        dispatcher_.note_pause(id, *facts.pause, now);
+        metrics_.count_belief("pause");
+        decision_line{log_, line_kind::belief, "pause"}
+            .with("server", id)
+            .with("wanted", *facts.pause);
+    }
+}
+
+void gateway::log_leaving(std::string const& id, std::string const& told_by)
+{
+    metrics_.count_belief("leaving");
+    decision_line{log_, line_kind::belief, "leaving"}
+        .with("server", id)
+        .with("told_by", told_by);
+}
+
 void gateway::on_store_reachable(ledger which, bool reachable,
                                  char const* reason)
 {
@@ -344,6 +378,40 @@
         .with("reason", reason);
 }
 
+/// What was written since the copy is gone, until its writers write it again.
+void gateway::on_store_restored(ledger which, std::uint64_t era)
+{
+    auto const now = decision_clock::now();
+    metrics_.count_belief("store_restored");
+    decision_line{log_, line_kind::belief, "store_restored"}
+        .with("ledger", name_of(which))
+        .with("era", era)
+        .with("before", follower_of(which).position().era);
+    if (which == ledger::configuration && !outlasting_configuration_) {
+        outlasting_configuration_ =
+            configuration_follower_->value_of(configuration_key_);
+    } else if (which == ledger::backend_servers) {
+        dispatcher_.note_list_restored(now);
+    } else if (which == ledger::members) {
+        members_restored_ = now;
+        registration_doubtful_ = true;
+    }
+}
+
+/// Writes the entry of this daemon again if the list of members lost it, or
+/// takes it off again if a restored list still has it at a stop.
+void gateway::restore_registration()
+{
+    if (!std::exchange(registration_doubtful_, false)) {
+        return;
+    }
+    auto const present = !stopping_since_;
+    auto const own = text_of(settings_.peer_address);
+    if (members_follower_->value_of(own).has_value() != present) {
+        register_member(present);
+    }
+}
+
 record_follower& gateway::follower_of(ledger which) const
 {
     switch (which) {
--- a/src/libgateway/src/gateway_metrics.cpp
+++ b/src/libgateway/src/gateway_metrics.cpp
@@ -34,6 +34,11 @@
             .Name("medlarstall_sends_total")
             .Help("Sends to backend servers by outcome.")
             .Register(registry);
+    prometheus::Family<prometheus::Counter>& beliefs =
+        prometheus::BuildCounter()
+            .Name("medlarstall_beliefs_total")
+            .Help("Changes of what the daemon believes, by event.")
+            .Register(registry);
     prometheus::Family<prometheus::Histogram>& first =
         prometheus::BuildHistogram()
             .Name("medlarstall_first_piece_seconds")
@@ -72,6 +77,11 @@
     implementation_->sends.Add({{"outcome", outcome}}).Increment();
 }
 
+void gateway_metrics::count_belief(std::string const& event)
+{
+    implementation_->beliefs.Add({{"event", event}}).Increment();
+}
+
 void gateway_metrics::observe_first(std::string const& kind,
                                     std::chrono::nanoseconds took)
 {
--- a/src/libgateway/src/gateway_parts.cpp
+++ b/src/libgateway/src/gateway_parts.cpp
@@ -120,22 +120,23 @@
     if (!address) {
         return;
     }
-    side_call(*address, {"GET", translations_.kept_parts_path, {}}, ask_timeout,
-              [this, id = entry.id](http::response const& answer) {
-                  auto const parts = translations_.read_kept_parts(answer.body);
-                  if (answer.head.status != ok || failed(parts)) {
-                      return;
-                  }
-                  dispatch::kept_parts const kept{id, value_of(parts)};
-                  dispatcher_.merge_parts(kept, decision_clock::now());
-                  if (members_.live(decision_clock::now()).size() >
-                      most_learners) {
-                      prompts_to_tell_.push_back(kept);
-                  }
-                  decision_line{log_, line_kind::belief, "kept_parts"}
-                      .with("server", id)
-                      .with("parts", kept.parts.size());
-              });
+    side_call(
+        *address, {"GET", translations_.kept_parts_path, {}}, ask_timeout,
+        [this, id = entry.id](http::response const& answer) {
+            note_wishes(id, translations_.protocol.read_answer(answer.head));
+            auto const parts = translations_.read_kept_parts(answer.body);
+            if (answer.head.status != ok || failed(parts)) {
+                return;
+            }
+            dispatch::kept_parts const kept{id, value_of(parts)};
+            dispatcher_.merge_parts(kept, decision_clock::now());
+            if (members_.live(decision_clock::now()).size() > most_learners) {
+                prompts_to_tell_.push_back(kept);
+            }
+            decision_line{log_, line_kind::belief, "kept_parts"}
+                .with("server", id)
+                .with("parts", kept.parts.size());
+        });
 }
 
 } // namespace medlarstall::gateway
--- a/src/libgateway/src/gateway_peers.cpp
+++ b/src/libgateway/src/gateway_peers.cpp
@@ -28,6 +28,8 @@
 constexpr milliseconds catch_up_time{750};
 /// A daemon that was heard of this lately is asked for records.
 constexpr milliseconds heard_lately{1000};
+/// Other daemons are told for this long that a backend server leaves.
+constexpr milliseconds leaving_told{3000};
 /// Daemons that try while the store cannot be reached.
 constexpr std::size_t most_candidates = 12;
 
@@ -37,9 +39,9 @@
 /// that does has read.
 void gateway::update_list_reachable(time_point now)
 {
-    auto const known = servers_follower_->offset();
+    auto const known = servers_follower_->position();
     for (auto const* const peer : members_.live(now)) {
-        if (peer->news.store_reachable && peer->news.servers_offset <= known) {
+        if (peer->news.store_reachable && peer->news.servers <= known) {
             caught_up_ = now;
         }
     }
@@ -49,7 +51,8 @@
         list_reachable_ = reachable;
         decision_line{log_, line_kind::belief, "list"}
             .with("reachable", reachable ? "yes" : "no")
-            .with("offset", servers_follower_->offset());
+            .with("era", known.era)
+            .with("offset", known.offset);
     }
     dispatcher_.set_list_reachable(reachable, now);
 }
@@ -63,12 +66,13 @@
     news.entry_address = text_of(settings_.entry_address);
     news.ready = is_ready();
     news.store_reachable = servers_follower_->reads_store();
-    news.configuration_offset = configuration_follower_->offset();
-    news.servers_offset = servers_follower_->offset();
-    news.servers_changed = tells_all_changes()
-                               ? news.servers_offset
-                               : servers_follower_->changed_to();
-    news.members_offset = members_follower_->offset();
+    news.configuration_version = table_ ? table_->version() : 0;
+    news.configuration = configuration_follower_->position();
+    news.servers = servers_follower_->position();
+    news.servers_changed =
+        tells_all_changes() ? news.servers : servers_follower_->changed_to();
+    news.members = members_follower_->position();
+    news.leaving = dispatcher_.leaving_since(news_sent_ - leaving_told);
     news.loads = dispatcher_.own_loads(news_sent_);
     news.prompts = prompts_to_tell_;
     news.crashes = crashes_to_tell_;
@@ -77,15 +81,16 @@
 
 void gateway::send_news(time_point now, bool urgent)
 {
-    auto const offsets =
-        configuration_follower_->offset() + (is_ready() ? 1U : 0U);
-    urgent = urgent || offsets != told_offsets_;
+    auto const configuration = configuration_follower_->position();
+    urgent = urgent || configuration != told_configuration_ ||
+             is_ready() != told_ready_;
     auto const busy = !requests_.empty() || !prompts_to_tell_.empty() ||
                       !crashes_to_tell_.empty();
     if (!urgent && now - news_sent_ < (busy ? busy_news : calm_news)) {
         return;
     }
-    told_offsets_ = offsets;
+    told_configuration_ = configuration;
+    told_ready_ = is_ready();
     news_sent_ = now;
     ++news_sequence_;
     if (prompts_to_tell_.size() > most_prompts_told) {
@@ -125,6 +130,11 @@
     for (auto const& note : told.crashes) {
         dispatcher_.crashes().merge(note, now);
     }
+    for (auto const& note : told.leaving) {
+        if (dispatcher_.merge_leaving(note)) {
+            log_leaving(note.backend_server, told.daemon);
+        }
+    }
 }
 
 /// Divides the fleet anew when a daemon came or went.
@@ -207,22 +217,24 @@
     std::vector<std::string> ahead_in_configuration;
     std::vector<std::string> ahead_in_servers;
     std::vector<std::string> ahead_in_members;
+    auto const version = table_ ? table_->version() : 0;
     for (auto const* const peer : members_.live(now)) {
         auto const& news = peer->news;
         if (now - peer->heard > heard_lately) {
             continue;
         }
-        if (news.members_offset > members_follower_->offset()) {
+        if (news.members > members_follower_->position()) {
             ahead_in_members.push_back(peer->address);
         }
-        if (news.configuration_offset > configuration_follower_->offset()) {
+        if (news.configuration > configuration_follower_->position() ||
+            news.configuration_version > version) {
             ahead_in_configuration.push_back(peer->address);
         }
-        if (news.servers_offset <= servers_follower_->offset()) {
+        if (news.servers <= servers_follower_->position()) {
             continue;
         }
-        if (news.servers_changed <= servers_follower_->offset()) {
-            servers_follower_->skip_to(news.servers_offset);
+        if (news.servers_changed <= servers_follower_->position()) {
+            servers_follower_->skip_to(news.servers);
         } else {
             ahead_in_servers.push_back(peer->address);
         }
@@ -258,11 +270,12 @@
         turns.note_end();
         return;
     }
-    http::request_head head{
-        "GET",
-        std::string{"/v1/records/"} + name_of(which) +
-            "?after=" + std::to_string(follower_of(which).offset()),
-        {}};
+    auto const after = follower_of(which).position();
+    http::request_head head{"GET",
+                            std::string{"/v1/records/"} + name_of(which) +
+                                "?era=" + std::to_string(after.era) +
+                                "&after=" + std::to_string(after.offset),
+                            {}};
     constexpr milliseconds fetch_timeout{1500};
     side_call(*endpoint, std::move(head), fetch_timeout,
               [this, which, address, &turns](http::response const& answer) {
@@ -288,8 +301,15 @@
     decision_line{log_, line_kind::belief, "records_from_peer"}
         .with("ledger", name_of(which))
         .with("from", address)
+        .with("era", value_of(page).era)
         .with("offset", value_of(page).next_offset);
     follower_of(which).absorb(value_of(page));
+    if (which == ledger::configuration) {
+        // A store that was restored may lack the newest one for a while.
+        for (auto const& item : value_of(page).records) {
+            on_configuration(item);
+        }
+    }
 }
 
 } // namespace medlarstall::gateway
--- a/src/libgateway/src/gateway_requests.cpp
+++ b/src/libgateway/src/gateway_requests.cpp
@@ -28,6 +28,15 @@
 /// Callers come back once only, so not before the store may be back.
 constexpr milliseconds outage_return{3000};
 
+/// \return a number in the query of a target; 0 if there is none
+std::uint64_t number_in(std::string_view target, std::string_view name)
+{
+    auto const text = http::query_value(target, name);
+    std::uint64_t value = 0;
+    std::from_chars(text.data(), text.data() + text.size(), value);
+    return value;
+}
+
 http::response cbor_answer(std::string body)
 {
     http::response answer{{200, {}, {}}, std::move(body)};
@@ -197,9 +206,8 @@
 {
     auto const path = http::path_of(target);
     auto const name = path.substr(path.rfind('/') + 1);
-    auto const text = http::query_value(target, "after");
-    std::uint64_t after = 0;
-    std::from_chars(text.data(), text.data() + text.size(), after);
+    store_position const after{number_in(target, "era"),
+                               number_in(target, "after")};
     for (auto const which :
          {ledger::configuration, ledger::backend_servers, ledger::members}) {
         if (name != name_of(which)) {
@@ -207,8 +215,15 @@
         }
         auto const all =
             which != ledger::backend_servers || tells_all_changes();
-        return cbor_answer(encode(follower_of(which).changes(
-            after, all ? change_choice::all : change_choice::that_matter)));
+        auto page = follower_of(which).changes(
+            after, all ? change_choice::all : change_choice::that_matter);
+        if (which == ledger::configuration && outlasting_configuration_) {
+            // Before what the store will write next.
+            auto const before = page.next_offset > 0 ? page.next_offset - 1 : 0;
+            page.records.push_back(
+                {configuration_key_, outlasting_configuration_, before});
+        }
+        return cbor_answer(encode(page));
     }
     return {{not_found, {}, {}}, {}};
 }
@@ -220,7 +235,8 @@
         metrics_.set(name, static_cast<double>(value));
     };
     set("configuration_version", table_ ? table_->version() : 0);
-    set("list_offset", servers_follower_->offset());
+    set("list_era", servers_follower_->position().era);
+    set("list_offset", servers_follower_->position().offset);
     set("backend_servers", dispatcher_.listed().all().size());
     set("live_peers", members_.live(now).size());
     set("requests_in_flight", requests_.size());
--- a/src/libgateway/src/gateway_upkeep.cpp
+++ b/src/libgateway/src/gateway_upkeep.cpp
@@ -67,13 +67,14 @@
         decision_line{log_, line_kind::belief, "backend_server"}
             .with("server", id)
             .with("change", "lapsed_for_good")
-            .with("offset", servers_follower_->offset());
+            .with("offset", servers_follower_->position().offset);
     });
     check_requests(now);
     send_probes(now);
     learn_kept_parts(now);
     update_cell();
     choose_readers(now);
+    restore_registration();
     drop_lost_members(now);
     fetch_from_peers(now);
     send_news(now);
@@ -139,6 +140,9 @@
 void gateway::judge_probe(std::string const& id, http::response const& answer)
 {
     auto const facts = translations_.protocol.read_answer(answer.head);
+    if (facts.backend_server.value_or(id) == id) {
+        note_wishes(id, facts);
+    }
     if (answer.head.status == no_answer) {
         on_probe(id, false, "silent");
     } else if (facts.backend_server && *facts.backend_server != id) {
--- a/src/libgateway/src/member_table.cpp
+++ b/src/libgateway/src/member_table.cpp
@@ -43,13 +43,23 @@
     return true;
 }
 
+bool member_table::is_live(member const& item, time_point now) const
+{
+    return item.heard != time_point::min() && now - item.heard < settings_.live;
+}
+
+bool member_table::hears(std::string const& address, time_point now) const
+{
+    auto const found = members_.find(address);
+    return found != members_.end() && is_live(found->second, now);
+}
+
 std::vector<member_table::member const*>
 member_table::live(time_point now) const
 {
     std::vector<member const*> found;
     for (auto const& [address, item] : members_) {
-        if (item.heard != time_point::min() &&
-            now - item.heard < settings_.live) {
+        if (is_live(item, now)) {
             found.push_back(&item);
         }
     }
--- a/src/libgateway/src/peer_news.cpp
+++ b/src/libgateway/src/peer_news.cpp
@@ -48,6 +48,21 @@
     return note;
 }
 
+json write_position(store_position const& at)
+{
+    return json::array({at.era, at.offset});
+}
+
+store_position read_position(json const& value)
+{
+    return {value.at(0).get<std::uint64_t>(), value.at(1).get<std::uint64_t>()};
+}
+
+json write_leaving(dispatch::leaving_note const& note)
+{
+    return json::array({note.backend_server, note.started_unix_ms});
+}
+
 json write_prompt(prompt_note const& note)
 {
     auto parts = json::array();
@@ -88,10 +103,15 @@
     news.entry_address = value.at("a").get<std::string>();
     news.ready = value.at("r").get<bool>();
     news.store_reachable = value.at("s").get<bool>();
-    news.configuration_offset = value.at("c").get<std::uint64_t>();
-    news.servers_offset = value.at("b").get<std::uint64_t>();
-    news.servers_changed = value.value("m", news.servers_offset);
-    news.members_offset = value.value("e", std::uint64_t{0});
+    news.configuration_version = value.at("v").get<std::uint64_t>();
+    news.configuration = read_position(value.at("c"));
+    news.servers = read_position(value.at("b"));
+    news.servers_changed = read_position(value.at("m"));
+    news.members = read_position(value.at("e"));
+    for (auto const& item : value.at("g")) {
+        news.leaving.push_back(
+            {item.at(0).get<std::string>(), item.at(1).get<std::int64_t>()});
+    }
     for (auto const& item : value.at("l")) {
         news.loads.push_back(read_load(item));
     }
@@ -111,6 +131,7 @@
     record_page page;
     page.next_offset = value.at("next").get<std::uint64_t>();
     page.whole = value.at("whole").get<bool>();
+    page.era = value.at("era").get<std::uint64_t>();
     for (auto const& item : value.at("records")) {
         record read{item.at(0).get<std::string>(), std::nullopt,
                     item.at(2).get<std::uint64_t>()};
@@ -150,10 +171,12 @@
                     {"a", news.entry_address},
                     {"r", news.ready},
                     {"s", news.store_reachable},
-                    {"c", news.configuration_offset},
-                    {"b", news.servers_offset},
-                    {"m", news.servers_changed},
-                    {"e", news.members_offset},
+                    {"v", news.configuration_version},
+                    {"c", write_position(news.configuration)},
+                    {"b", write_position(news.servers)},
+                    {"m", write_position(news.servers_changed)},
+                    {"e", write_position(news.members)},
+                    {"g", write_all(news.leaving, write_leaving)},
                     {"l", write_all(news.loads, write_load)},
                     {"p", write_all(news.prompts, write_prompt)},
                     {"x", write_all(news.crashes, crash)}});
@@ -190,6 +213,7 @@
     };
     return to_text({{"next", page.next_offset},
                     {"whole", page.whole},
+                    {"era", page.era},
                     {"records", write_all(page.records, item)}});
 }
 
--- a/src/libgateway/src/record_follower.cpp
+++ b/src/libgateway/src/record_follower.cpp
@@ -28,6 +28,8 @@
         return "turned_away";
     case store_failure::forgotten:
         return "forgotten";
+    case store_failure::outdated:
+        return "outdated";
     }
     return "unknown";
 }
@@ -70,7 +72,8 @@
         auto const patient = eager_ && reachable_;
         auto const wait =
             patient ? settings_.wait : std::chrono::milliseconds{0};
-        store_.read_from(which_, *next_, wait, handler);
+        asked_from_ = *next_;
+        store_.read_from(which_, next_->offset, wait, handler);
     }
 }
 
@@ -84,6 +87,15 @@
         return;
     }
     auto const& page = std::get<record_page>(outcome);
+    if (page.era < position().era) {
+        on_failure(store_failure::outdated);
+        return;
+    }
+    if (!page.whole && page.era > asked_from_.era) {
+        // The offset asked for was one of an older era.
+        on_failure(store_failure::forgotten);
+        return;
+    }
     backoff_ = settings_.first_backoff;
     read_at_ = decision_clock::now();
     set_reachable(true, "answered");
@@ -112,7 +124,8 @@
 
 void record_follower::absorb(record_page const& page)
 {
-    if (page.next_offset <= offset()) {
+    auto const begins_era = next_ && page.era > next_->era;
+    if (page.next() <= position() || (begins_era && !page.whole)) {
         return;
     }
     read_at_ = decision_clock::now();
@@ -121,26 +134,33 @@
 
 void record_follower::take(record_page const& page)
 {
-    auto const known_to = offset();
-    if (page.whole && page.next_offset < known_to) {
+    auto const known_to = position();
+    if (page.whole && page.next() < known_to) {
         return; // Older than what is known.
     }
+    if (next_ && page.era > known_to.era) {
+        events_.restored(page.era);
+    }
     for (auto const& item : page.records) {
-        take_record(item);
+        store_position const behind{page.era, item.offset + 1};
+        // What a late answer brings may have been removed since.
+        if (page.whole || behind > known_to) {
+            take_record(item, behind);
+        }
     }
     if (page.whole) {
-        take_missing(page, page.next_offset);
-        complete_from_ = std::max(complete_from_, page.next_offset);
+        take_missing(page);
+        complete_from_ = std::max(complete_from_, page.next());
         // What was removed before is not known: it may matter.
-        changed_to_ = std::max(changed_to_, page.next_offset);
+        changed_to_ = std::max(changed_to_, page.next());
     }
-    next_ = std::max(known_to, page.next_offset);
+    next_ = std::max(known_to, page.next());
 }
 
-void record_follower::skip_to(std::uint64_t offset)
+void record_follower::skip_to(store_position next)
 {
-    if (next_ && offset > *next_) {
-        next_ = offset;
+    if (next_ && next.era == next_->era && next > *next_) {
+        next_ = next;
         read_at_ = decision_clock::now();
     }
 }
@@ -149,23 +169,23 @@
 void record_follower::keep(kept_record& kept)
 {
     if (events_.changed(kept.item)) {
-        kept.changed = kept.item.offset;
-        changed_to_ = std::max(changed_to_, kept.changed + 1);
+        kept.changed = kept.behind;
+        changed_to_ = std::max(changed_to_, kept.behind);
     }
 }
 
-void record_follower::take_record(record const& item)
+void record_follower::take_record(record const& item, store_position behind)
 {
     auto const [known, added] = newest_.try_emplace(item.key);
-    if (!added && item.offset <= known->second.item.offset) {
+    if (!added && behind <= known->second.behind) {
         return;
     }
     known->second.item = item;
+    known->second.behind = behind;
     keep(known->second);
 }
 
-void record_follower::take_missing(record_page const& page,
-                                   std::uint64_t known_to)
+void record_follower::take_missing(record_page const& page)
 {
     std::set<std::string> named;
     for (auto const& item : page.records) {
@@ -173,32 +193,40 @@
     }
     for (auto& [key, kept] : newest_) {
         auto& item = kept.item;
-        if (item.value && item.offset < known_to && !named.contains(key)) {
+        if (item.value && kept.behind <= page.next() && !named.contains(key)) {
             item.value.reset();
-            item.offset = known_to - 1;
+            item.offset = page.next_offset > 0 ? page.next_offset - 1 : 0;
+            kept.behind = page.next();
             keep(kept);
         }
     }
 }
 
-record_page record_follower::changes(std::uint64_t after,
+record_page record_follower::changes(store_position after,
                                      change_choice which) const
 {
     record_page page;
-    page.next_offset = offset();
+    page.next_offset = position().offset;
+    page.era = position().era;
     // Of what was removed before the whole read nothing is known here.
     page.whole = after < complete_from_;
     for (auto const& [key, kept] : newest_) {
-        auto const since = which == change_choice::that_matter
-                               ? kept.changed
-                               : kept.item.offset;
-        if (page.whole ? kept.item.value.has_value() : since >= after) {
+        auto const since =
+            which == change_choice::that_matter ? kept.changed : kept.behind;
+        if (page.whole ? kept.item.value.has_value() : since > after) {
             page.records.push_back(kept.item);
         }
     }
     return page;
 }
 
+std::optional<std::string>
+record_follower::value_of(std::string const& key) const
+{
+    auto const found = newest_.find(key);
+    return found == newest_.end() ? std::nullopt : found->second.item.value;
+}
+
 void record_follower::set_eager(bool eager)
 {
     if (std::exchange(eager_, eager) != eager && eager) {
--- a/src/libhttp/include/medlarstall/http/message_parser.hpp
+++ b/src/libhttp/include/medlarstall/http/message_parser.hpp
@@ -10,6 +10,8 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
+#include <vector>
 
 namespace medlarstall::http {
 
@@ -60,6 +62,12 @@
     /// \param limits its bounds
     void reset(parser_limits limits);
 
+    /// \return heads of interim responses read since the last call
+    [[nodiscard]] std::vector<response_head> take_interim()
+    {
+        return std::exchange(interim_, {});
+    }
+
     /// Says that the response read next has no body (answer to HEAD).
     void expect_no_body() { bodiless_ = true; }
 
@@ -107,6 +115,7 @@
     parser_limits limits_;
     request_head request_;
     response_head response_;
+    std::vector<response_head> interim_;
     header pending_;
     std::string body_;
     std::size_t head_bytes_ = 0;
--- a/src/libhttp/include/medlarstall/http/upstream_connection.hpp
+++ b/src/libhttp/include/medlarstall/http/upstream_connection.hpp
@@ -43,6 +43,8 @@
 {
     /// Tells whether a response belongs to this call. Others are skipped.
     std::function<bool(response_head const&)> belongs;
+    /// The head of an interim response (1xx) was read. May be empty.
+    std::function<void(response_head const&)> interim;
     /// The head of the response was read.
     std::function<void(response_head&, body_framing)> head;
     /// A piece of the body was read.
@@ -116,6 +118,7 @@
     void on_bytes(std::string_view bytes);
     void on_closed(std::error_code reason);
     void on_connect_timeout();
+    void announce_interim();
     bool announce_head();
     void deliver_body();
     void complete();
--- a/src/libhttp/src/message_parser.cpp
+++ b/src/libhttp/src/message_parser.cpp
@@ -256,7 +256,7 @@
         if (head_bytes_ > limits_.head_bytes) {
             return fail(parse_failure::head_too_large);
         }
-        response_ = {};
+        interim_.push_back(std::exchange(response_, {}));
         has_head_ = false;
         framing_ = body_framing::none;
         return 0;
--- a/src/libhttp/src/upstream_connection.cpp
+++ b/src/libhttp/src/upstream_connection.cpp
@@ -134,6 +134,7 @@
                             : call_failure::malformed);
             return;
         }
+        announce_interim();
         if (parser_.has_head() && !announce_head()) {
             return;
         }
@@ -150,6 +151,15 @@
     }
 }
 
+void upstream_connection::announce_interim()
+{
+    for (auto const& head : parser_.take_interim()) {
+        if (events_.interim) {
+            events_.interim(head);
+        }
+    }
+}
+
 /// Tells the owner of the head once, or notes that it is another call's.
 /// \return false if the call has ended
 bool upstream_connection::announce_head()
--- a/tests/libdispatch/decisions_test.cpp
+++ b/tests/libdispatch/decisions_test.cpp
@@ -1,6 +1,7 @@
 #include <medlarstall/dispatch/attempt_policy.hpp>
 #include <medlarstall/dispatch/crash_ledger.hpp>
 #include <medlarstall/dispatch/part_cache.hpp>
+#include <medlarstall/dispatch/requested_pause.hpp>
 #include <medlarstall/dispatch/retry_window.hpp>
 #include <medlarstall/dispatch/server_health.hpp>
 
@@ -241,3 +242,38 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(requested_pause_suite)
+
+BOOST_AUTO_TEST_CASE(nothing_is_admitted_until_its_end)
+{
+    requested_pause pause;
+    BOOST_TEST(pause.admits(100, start));
+    pause.note(1s, start);
+    BOOST_TEST(!pause.admits(0, start + 999ms));
+    BOOST_TEST((pause.left(start + 400ms) == 600ms));
+    pause.note(200ms, start + 100ms); // A shorter one takes nothing back.
+    BOOST_TEST(!pause.admits(0, start + 999ms));
+    BOOST_TEST(pause.admits(0, start + 1s));
+}
+
+BOOST_AUTO_TEST_CASE(requests_return_one_after_the_other)
+{
+    requested_pause pause;
+    pause.note(1s, start);
+    BOOST_TEST(!pause.admits(1, start + 1s));
+    BOOST_TEST(pause.admits(1, start + 1s + 40ms));
+    BOOST_TEST(!pause.admits(8, start + 1s + 200ms));
+    BOOST_TEST(pause.admits(100, start + 1s + 800ms));
+}
+
+BOOST_AUTO_TEST_CASE(a_mad_figure_is_capped)
+{
+    requested_pause pause;
+    pause.note(-5s, start);
+    BOOST_TEST(pause.admits(0, start));
+    pause.note(std::chrono::hours{24}, start);
+    BOOST_TEST(pause.admits(0, start + 60s));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/libgateway/gateway_test.cpp
+++ b/tests/libgateway/gateway_test.cpp
@@ -25,54 +25,6 @@
     return text;
 }
 
-/// One gateway that is ready; runs before that are not counted.
-struct ready_world : gateway_world
-{
-    std::size_t runs_before;
-
-    explicit ready_world(std::size_t servers) : gateway_world{servers}
-    {
-        configure(1);
-        add_gateway();
-        BOOST_REQUIRE(wait_ready(0));
-        runs_before = total_runs();
-    }
-
-    [[nodiscard]] std::size_t runs() const
-    {
-        return total_runs() - runs_before;
-    }
-
-    void script_all(behaviour what)
-    {
-        for (auto const& server : servers) {
-            server->script(what);
-        }
-    }
-};
-
-/// Starts gateways that find each other by the first three.
-void add_fleet(gateway_world& world, std::size_t daemons)
-{
-    constexpr std::size_t most_seeds = 3;
-    std::vector<std::string> seeds;
-    for (std::size_t at = 0; at < daemons; ++at) {
-        auto const& started =
-            world.add_gateway(std::chrono::seconds{8}, seeds).settings();
-        if (seeds.size() < most_seeds) {
-            seeds.push_back("127.0.0.1:" +
-                            std::to_string(started.peer_address.port()));
-        }
-    }
-}
-
-/// Runs the event loop for a while.
-void pass(gateway_world& world, std::chrono::milliseconds span)
-{
-    auto const end = std::chrono::steady_clock::now() + span;
-    world.run_until([end] { return std::chrono::steady_clock::now() >= end; });
-}
-
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(requests_suite)
@@ -382,15 +334,15 @@
     constexpr std::size_t readers = 3;
     gateway_world world{1};
     world.configure(1);
-    add_fleet(world, daemons);
-    pass(world, std::chrono::milliseconds{4000});
+    world.add_fleet(daemons);
+    world.pass(std::chrono::milliseconds{4000});
     auto const before = world.store.calls();
     constexpr std::size_t restarts = 3;
     for (std::size_t at = 0; at < restarts; ++at) {
         world.store.put("keyed.medlarstall-members", "127.0.0.9:1", "x");
-        pass(world, std::chrono::milliseconds{600});
+        world.pass(std::chrono::milliseconds{600});
         world.store.put("keyed.medlarstall-members", "127.0.0.9:1", {});
-        pass(world, std::chrono::milliseconds{600});
+        world.pass(std::chrono::milliseconds{600});
     }
     constexpr std::size_t ledgers = 3;
     auto const seen_by_readers = readers * (2 * restarts + ledgers);
@@ -404,19 +356,19 @@
     constexpr std::size_t daemons = 16;
     gateway_world world{1};
     world.configure(1);
-    add_fleet(world, daemons);
-    pass(world, std::chrono::milliseconds{2500});
+    world.add_fleet(daemons);
+    world.pass(std::chrono::milliseconds{2500});
     world.store.set_mood(store_mood::turning_away);
-    pass(world, std::chrono::milliseconds{4500});
+    world.pass(std::chrono::milliseconds{4500});
     world.store.put("keyed.servers", world.servers[0]->id(), {});
     world.store.set_mood(store_mood::serving);
-    pass(world, std::chrono::milliseconds{1300});
+    world.pass(std::chrono::milliseconds{1300});
     for (std::size_t at = 0; at < daemons; ++at) {
         auto const id = "id-" + std::to_string(at);
         BOOST_TEST(world.ask(at, "GET", "/safe/a", id).status == 200);
     }
     world.list_server(0, "ready", 2);
-    pass(world, std::chrono::milliseconds{3000});
+    world.pass(std::chrono::milliseconds{3000});
     for (std::size_t at = 0; at < daemons; ++at) {
         auto const id = "later-" + std::to_string(at);
         BOOST_TEST(world.ask(at, "GET", "/safe/a", id).status == 200);
--- a/tests/libgateway/gateway_world.cpp
+++ b/tests/libgateway/gateway_world.cpp
@@ -88,6 +88,20 @@
               servers.at(at)->entry("s", state, sequence));
 }
 
+void gateway_world::list_raw(platform_standins::raw_server const& server)
+{
+    store.put("keyed.servers", "i-raw",
+              R"({"service":"s","address":")" + server.address() +
+                  R"(","zone":"z","version":"v1","slots":4,)"
+                  R"("state":"ready","coldRemainingMs":0,"sequence":1,)"
+                  R"("born":1700000000000})");
+    BOOST_REQUIRE(run_until([this] {
+        auto const state =
+            get(gateways[0]->settings().peer_address, "/v1/status");
+        return state.body.find("i-raw") != std::string::npos;
+    }));
+}
+
 bool gateway_world::run_until(std::function<bool()> const& holds)
 {
     auto const end = std::chrono::steady_clock::now() + longest_test;
@@ -158,6 +172,7 @@
 {
     auto const answer = send(gateway, method, path, id, key);
     BOOST_TEST(run_until([&answer] { return answer->over(); }));
+    connections.pop_back(); // Tests that ask often must not fill the gateway.
     return *answer;
 }
 
@@ -200,3 +215,38 @@
     }
     return runs;
 }
+
+void gateway_world::add_fleet(std::size_t daemons)
+{
+    constexpr std::size_t most_seeds = 3;
+    std::vector<std::string> seeds;
+    for (std::size_t at = 0; at < daemons; ++at) {
+        auto const& started =
+            add_gateway(std::chrono::seconds{8}, seeds).settings();
+        if (seeds.size() < most_seeds) {
+            seeds.push_back("127.0.0.1:" +
+                            std::to_string(started.peer_address.port()));
+        }
+    }
+}
+
+void gateway_world::pass(std::chrono::milliseconds span)
+{
+    auto const end = std::chrono::steady_clock::now() + span;
+    run_until([end] { return std::chrono::steady_clock::now() >= end; });
+}
+
+ready_world::ready_world(std::size_t server_count) : gateway_world{server_count}
+{
+    configure(1);
+    add_gateway();
+    BOOST_REQUIRE(wait_ready(0));
+    runs_before = total_runs();
+}
+
+void ready_world::script_all(platform_standins::behaviour const& what)
+{
+    for (auto const& server : servers) {
+        server->script(what);
+    }
+}
--- a/tests/libgateway/gateway_world.hpp
+++ b/tests/libgateway/gateway_world.hpp
@@ -2,11 +2,13 @@
 #define MEDLARSTALL_TESTS_GATEWAY_WORLD_HPP
 
 #include <medlarstall/gateway/gateway.hpp>
+#include <medlarstall/platform_standins/raw_server.hpp>
 #include <medlarstall/platform_standins/server_standin.hpp>
 #include <medlarstall/platform_standins/store_standin.hpp>
 
 #include <asio/io_context.hpp>
 
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <string>
@@ -55,6 +57,10 @@
     void list_server(std::size_t at, std::string const& state,
                      std::uint64_t sequence);
 
+    /// Lists a raw server as "i-raw" and waits until the first gateway knows
+    /// it.
+    void list_raw(medlarstall::platform_standins::raw_server const& server);
+
     /// Runs the event loop until something holds.
     /// \return false if it does not come to hold
     bool run_until(std::function<bool()> const& holds);
@@ -80,6 +86,30 @@
 
     /// \return requests run by all backend servers
     [[nodiscard]] std::size_t total_runs() const;
+
+    /// Starts gateways that find each other by the first three.
+    void add_fleet(std::size_t daemons);
+
+    /// Runs the event loop for a while.
+    void pass(std::chrono::milliseconds span);
+};
+
+/// One gateway that is ready; runs before that are not counted.
+struct ready_world : gateway_world
+{
+    std::size_t runs_before;
+
+    /// \param server_count backend servers to start
+    explicit ready_world(std::size_t server_count);
+
+    /// \return requests run since it was ready
+    [[nodiscard]] std::size_t runs() const
+    {
+        return total_runs() - runs_before;
+    }
+
+    /// Tells all backend servers what to do with their next request.
+    void script_all(medlarstall::platform_standins::behaviour const& what);
 };
 
 #endif
--- /dev/null
+++ b/tests/libgateway/leaving_and_paused_servers_test.cpp
@@ -0,0 +1,171 @@
+// Backend servers that say that they leave, or that ask for a pause, through
+// whole gateways.
+
+#include "gateway_world.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <cstdlib>
+
+using namespace medlarstall;
+using namespace std::chrono_literals;
+using kind = platform_standins::behaviour::kind;
+
+namespace {
+
+/// Sends requests one after the other until one reaches a backend server.
+bool reaches(gateway_world& world, std::size_t gateway, std::size_t server)
+{
+    constexpr int most_tries = 200;
+    auto const before = world.servers.at(server)->runs().size();
+    for (int at = 0; at < most_tries; ++at) {
+        std::ignore =
+            world.ask(gateway, "POST", "/once/a", "try-" + std::to_string(at));
+        if (world.servers.at(server)->runs().size() > before) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/// Sends requests and checks that all are answered.
+void check_served(gateway_world& world, std::size_t gateway, int requests)
+{
+    for (int at = 0; at < requests; ++at) {
+        auto const id = "served-" + std::to_string(at);
+        BOOST_TEST(world.ask(gateway, "POST", "/once/a", id).status == 200);
+    }
+}
+
+double retry_after(caller_answer const& answer)
+{
+    auto const* const text = answer.headers.find("Retry-After");
+    return text == nullptr ? 0.0 : std::strtod(text->c_str(), nullptr);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(leaving_servers_suite)
+
+BOOST_AUTO_TEST_CASE(one_that_says_that_it_leaves_gets_nothing_new)
+{
+    ready_world world{2};
+    world.servers[0]->leave();
+    BOOST_REQUIRE(reaches(world, 0, 0));
+    auto const before = world.servers[0]->arrivals();
+    check_served(world, 0, 30);
+    BOOST_TEST(world.servers[0]->arrivals() == before);
+}
+
+BOOST_AUTO_TEST_CASE(the_other_daemons_are_told)
+{
+    gateway_world world{2};
+    world.configure(1);
+    world.add_fleet(2);
+    BOOST_REQUIRE(world.wait_ready(0));
+    BOOST_REQUIRE(world.wait_ready(1));
+    world.pass(1500ms); // They hear of each other.
+    world.servers[0]->leave();
+    BOOST_REQUIRE(reaches(world, 0, 0));
+    world.pass(700ms);
+    auto const before = world.servers[0]->arrivals();
+    check_served(world, 1, 30);
+    BOOST_TEST(world.servers[0]->arrivals() == before);
+}
+
+BOOST_AUTO_TEST_CASE(a_refusal_says_that_it_leaves_too)
+{
+    ready_world world{2};
+    world.servers[0]->leave();
+    world.servers[0]->script({.what = kind::turn_away});
+    auto const first = world.servers[0]->arrivals();
+    while (world.servers[0]->arrivals() == first) {
+        check_served(world, 0, 1);
+    }
+    auto const before = world.servers[0]->arrivals();
+    check_served(world, 0, 30);
+    BOOST_TEST(world.servers[0]->arrivals() == before);
+}
+
+BOOST_AUTO_TEST_CASE(an_interim_answer_says_that_it_leaves_too)
+{
+    gateway_world world{0};
+    world.configure(1);
+    world.add_gateway();
+    platform_standins::raw_server const server{
+        world.context,
+        {"HTTP/1.1 103 Early Hints\r\nServer-Leaving: 1\r\n\r\n"
+         "HTTP/1.1 200 OK\r\nX-Attempt-Id: ID\r\nX-Response-Seal: s\r\n"
+         "Content-Length: 2\r\n\r\nok",
+         "",
+         {}}};
+    world.list_raw(server);
+    BOOST_TEST(world.ask(0, "POST", "/once/a", "id-1").status == 200);
+    BOOST_TEST(world.ask(0, "POST", "/once/a", "id-2").status == 503);
+    BOOST_TEST(server.requests() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(its_next_start_is_used_again)
+{
+    ready_world world{2};
+    world.servers[0]->leave();
+    BOOST_REQUIRE(reaches(world, 0, 0));
+    auto entry = world.servers[0]->entry("s", "ready", 1);
+    auto const born = entry.find("1700000000000");
+    entry.replace(born, 13, "1700000009000");
+    world.store.put("keyed.servers", "i-0", entry);
+    world.pass(1000ms);
+    BOOST_TEST(reaches(world, 0, 0));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(paused_servers_suite)
+
+BOOST_AUTO_TEST_CASE(one_that_asks_for_a_pause_gets_nothing_for_so_long)
+{
+    ready_world world{2};
+    world.servers[0]->script({.what = kind::turn_away, .pause = "1.2"});
+    auto const first = world.servers[0]->arrivals();
+    while (world.servers[0]->arrivals() == first) {
+        check_served(world, 0, 1);
+    }
+    auto const asked = std::chrono::steady_clock::now();
+    auto const before = world.servers[0]->arrivals();
+    while (std::chrono::steady_clock::now() - asked < 1100ms) {
+        check_served(world, 0, 1);
+    }
+    BOOST_TEST(world.servers[0]->arrivals() == before);
+    world.list_server(1, "draining", 2); // Leaves the first one alone.
+    BOOST_TEST(world.run_until([&] {
+        std::ignore = world.ask(0, "POST", "/once/a", "after");
+        return world.servers[0]->arrivals() > before;
+    }));
+}
+
+BOOST_AUTO_TEST_CASE(when_all_pause_callers_are_told_how_long)
+{
+    ready_world world{2};
+    world.script_all({.what = kind::turn_away, .pause = "1.5"});
+    auto const first = world.ask(0, "POST", "/once/a", "id-1");
+    BOOST_TEST(first.status == 503);
+    auto const second = world.ask(0, "POST", "/once/a", "id-2");
+    BOOST_TEST(second.status == 503);
+    BOOST_TEST(retry_after(second) > 1.0);
+    BOOST_TEST(retry_after(second) < 3.0);
+    BOOST_TEST(world.runs() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(bad_values_harm_nothing)
+{
+    for (std::string const& bad :
+         std::vector<std::string>{"-1", "1e999", "nan", "inf", "soon", "",
+                                  "Wed, 21 Oct 2026 07:28:00 GMT"}) {
+        ready_world world{1};
+        world.servers[0]->script({.what = kind::turn_away, .pause = bad});
+        BOOST_TEST(world.ask(0, "POST", "/once/a", "id-1").status == 503);
+        BOOST_TEST(world.ask(0, "POST", "/once/a", "id-2").status == 200);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/libgateway/record_follower_test.cpp
+++ b/tests/libgateway/record_follower_test.cpp
@@ -20,6 +20,7 @@
     std::uint64_t asked_from = 0;
     record_store store;
     std::map<std::string, std::string> known;
+    std::vector<std::uint64_t> restored_eras;
     bool reachable = false;
     std::shared_ptr<record_follower> follower;
 
@@ -49,6 +50,9 @@
             }
             return matters;
         };
+        events.restored = [this](std::uint64_t era) {
+            restored_eras.push_back(era);
+        };
         events.reachable = [this](bool now, char const*) {
             reachable = now;
         };
@@ -77,9 +81,9 @@
 };
 
 record_page page(std::vector<record> records, std::uint64_t next,
-                 bool whole = false)
+                 bool whole = false, std::uint64_t era = 0)
 {
-    return {std::move(records), next, whole};
+    return {std::move(records), next, whole, era};
 }
 
 } // namespace
@@ -150,11 +154,12 @@
     BOOST_TEST(!world.reachable);
     world.follower->absorb(page({{"a", "2", 4}, {"c", "1", 5}}, 6));
     BOOST_TEST(world.known.at("a") == "2");
-    BOOST_TEST(world.follower->offset() == 6U);
+    BOOST_TEST(world.follower->position().offset == 6U);
     world.follower->absorb(page({{"a", "0", 2}}, 5));
     BOOST_TEST(world.known.at("a") == "2");
-    BOOST_TEST(world.follower->changes(5, change_choice::all).records.size() ==
-               1U);
+    BOOST_TEST(
+        world.follower->changes({0, 5}, change_choice::all).records.size() ==
+        1U);
 }
 
 BOOST_AUTO_TEST_CASE(a_daemon_that_has_just_started_hands_on_removals)
@@ -165,7 +170,8 @@
     old_one.answer(page({{"a", "1", 3}, {"b", "1", 4}}, 5, true));
     scripted_store new_one;
     new_one.answer(page({{"b", "1", 4}}, 6, true)); // "a" was removed at 5.
-    auto const bytes = encode(new_one.follower->changes(5, change_choice::all));
+    auto const bytes =
+        encode(new_one.follower->changes({0, 5}, change_choice::all));
     auto const read = decode_page(bytes);
     BOOST_REQUIRE(!medlarstall::failed(read));
     old_one.follower->absorb(medlarstall::value_of(read));
@@ -179,17 +185,17 @@
     // of which only a sequence number had changed.
     scripted_store world;
     world.answer(page({{"a", "1", 3}, {"b", "1", 4}}, 5, true));
-    BOOST_TEST(world.follower->changed_to() == 5U);
+    BOOST_TEST(world.follower->changed_to().offset == 5U);
     world.answer(page({{"a", "1", 5}, {"b", "1", 6}}, 7));
-    BOOST_TEST(world.follower->changed_to() == 5U);
-    BOOST_TEST(world.follower->offset() == 7U);
+    BOOST_TEST(world.follower->changed_to().offset == 5U);
+    BOOST_TEST(world.follower->position().offset == 7U);
     auto const count = [&world](change_choice which) {
-        return world.follower->changes(5, which).records.size();
+        return world.follower->changes({0, 5}, which).records.size();
     };
     BOOST_TEST(count(change_choice::all) == 2U);
     BOOST_TEST(count(change_choice::that_matter) == 0U);
     world.answer(page({{"b", "2", 7}, {"a", std::nullopt, 8}}, 9));
-    BOOST_TEST(world.follower->changed_to() == 9U);
+    BOOST_TEST(world.follower->changed_to().offset == 9U);
     BOOST_TEST(count(change_choice::that_matter) == 2U);
 }
 
@@ -198,20 +204,104 @@
     // A removal that was never seen must not be skipped by others.
     scripted_store world;
     world.answer(page({{"b", "1", 4}}, 9, true)); // "a" was removed at 5.
-    BOOST_TEST(world.follower->changed_to() == 9U);
+    BOOST_TEST(world.follower->changed_to().offset == 9U);
 }
 
 BOOST_AUTO_TEST_CASE(a_daemon_goes_on_behind_what_does_not_matter)
 {
     scripted_store world;
     world.answer(page({{"a", "1", 3}}, 4, true));
-    world.follower->skip_to(9);
-    BOOST_TEST(world.follower->offset() == 9U);
-    world.follower->skip_to(6);
-    BOOST_TEST(world.follower->offset() == 9U);
+    world.follower->skip_to({0, 9});
+    BOOST_TEST(world.follower->position().offset == 9U);
+    world.follower->skip_to({0, 6});
+    BOOST_TEST(world.follower->position().offset == 9U);
     scripted_store unread;
-    unread.follower->skip_to(9); // Knows nothing yet: it must read.
-    BOOST_TEST(unread.follower->offset() == 0U);
+    unread.follower->skip_to({0, 9}); // Knows nothing yet: it must read.
+    BOOST_TEST(unread.follower->position().offset == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(a_late_answer_brings_back_no_removed_key)
+{
+    scripted_store world;
+    world.answer(page({}, 0, true));
+    world.follower->absorb(page({}, 2, true)); // "a" came and went meanwhile.
+    world.answer(page({{"a", "1", 0}}, 1));
+    BOOST_TEST(!world.known.contains("a"));
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_to_a_question_of_an_older_era_is_no_sequel)
+{
+    scripted_store world;
+    world.answer(page({{"a", "1", 0}}, 1, true, 1));
+    world.follower->absorb(page({}, 0, true, 2));
+    world.answer(page({}, 1, false, 2)); // From 1, though 0 is not known.
+    BOOST_TEST(world.asked_whole);
+}
+
+BOOST_AUTO_TEST_CASE(the_first_offset_of_a_new_era_is_taken)
+{
+    scripted_store world;
+    world.answer(page({{"a", "1", 0}}, 1, true, 1));
+    world.follower->absorb(page({}, 0, true, 2));
+    world.follower->absorb(page({{"a", "2", 0}}, 1, false, 2));
+    BOOST_TEST(world.known.at("a") == "2");
+}
+
+BOOST_AUTO_TEST_CASE(a_new_era_is_begun_with_all_its_records)
+{
+    scripted_store world;
+    world.answer(page({{"a", "9", 8}, {"b", "1", 3}}, 9, true, 1));
+    world.answer(page({{"c", "1", 9}}, 10, false, 2)); // Offsets mean nothing.
+    BOOST_TEST(world.asked_whole);
+    BOOST_TEST(!world.known.contains("c"));
+    world.answer(page({{"a", "1", 2}, {"c", "1", 3}}, 4, true, 2));
+    BOOST_TEST(world.known.at("a") == "1");
+    BOOST_TEST(!world.known.contains("b"));
+    BOOST_TEST((world.follower->position() == store_position{2, 4}));
+    BOOST_TEST(world.restored_eras == std::vector<std::uint64_t>{2},
+               boost::test_tools::per_element());
+    BOOST_TEST(world.asked_from == 4U);
+}
+
+BOOST_AUTO_TEST_CASE(offsets_that_the_store_lost_lead_to_a_whole_read)
+{
+    scripted_store world;
+    world.answer(page({{"a", "9", 8}}, 9, true, 1));
+    world.answer(store_failure::forgotten); // It no longer reaches to 9.
+    BOOST_TEST(world.asked_whole);
+    world.answer(page({{"a", "1", 2}}, 3, true, 2));
+    BOOST_TEST(world.known.at("a") == "1");
+    BOOST_TEST(world.asked_from == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(a_late_answer_of_an_older_era_is_dropped)
+{
+    scripted_store world;
+    world.answer(page({{"a", "1", 2}}, 3, true, 2));
+    world.answer(page({{"a", "9", 8}}, 9, false, 1));
+    BOOST_TEST(world.known.at("a") == "1");
+    BOOST_TEST(!world.reachable);
+    world.follower->absorb(page({{"a", "9", 8}}, 9, true, 1));
+    BOOST_TEST(world.known.at("a") == "1");
+}
+
+BOOST_AUTO_TEST_CASE(peers_of_an_older_era_are_handed_everything)
+{
+    scripted_store old_one;
+    old_one.answer(page({{"a", "9", 8}, {"b", "1", 4}}, 9, true, 1));
+    scripted_store new_one;
+    new_one.answer(page({{"b", "2", 3}}, 4, true, 2));
+    auto const handed = new_one.follower->changes(old_one.follower->position(),
+                                                  change_choice::that_matter);
+    BOOST_TEST(handed.whole);
+    auto const read = decode_page(encode(handed));
+    BOOST_REQUIRE(!medlarstall::failed(read));
+    old_one.follower->absorb(medlarstall::value_of(read));
+    BOOST_TEST(!old_one.known.contains("a"));
+    BOOST_TEST(old_one.known.at("b") == "2");
+    BOOST_TEST((old_one.follower->position() == store_position{2, 4}));
+    old_one.follower->skip_to({3, 7});
+    BOOST_TEST((old_one.follower->position() == store_position{2, 4}));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/libgateway/restored_store_test.cpp
@@ -0,0 +1,196 @@
+// A store that comes back from a copy some seconds old, through whole gateways.
+
+#include "gateway_world.hpp"
+
+#include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+using namespace medlarstall;
+using namespace std::chrono_literals;
+
+namespace {
+
+char const* const members_topic = "keyed.medlarstall-members";
+
+/// Writes entries again as often as their lists were written before, so that
+/// offsets of the time before the copy are given out a second time.
+constexpr std::uint64_t many_writes = 12;
+
+nlohmann::json status_of(gateway_world& world, std::size_t gateway)
+{
+    return nlohmann::json::parse(
+        world
+            .get(world.gateways.at(gateway)->settings().peer_address,
+                 "/v1/status")
+            .body);
+}
+
+bool waits_for_version(gateway_world& world, std::size_t gateway,
+                       std::uint64_t version)
+{
+    return world.run_until([&] {
+        return status_of(world, gateway).at("configuration") == version;
+    });
+}
+
+std::string member_key(gateway_world const& world, std::size_t gateway)
+{
+    auto const& address = world.gateways.at(gateway)->settings().peer_address;
+    return "127.0.0.1:" + std::to_string(address.port());
+}
+
+bool lists_server(gateway_world& world, std::size_t gateway,
+                  std::string const& id)
+{
+    auto const all = status_of(world, gateway).at("backend_servers");
+    return std::ranges::any_of(
+        all, [&id](auto const& item) { return item.at("id") == id; });
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(restored_store_suite)
+
+BOOST_AUTO_TEST_CASE(changes_after_a_return_are_in_force_at_once)
+{
+    ready_world world{1};
+    world.store.take_copy();
+    for (std::uint64_t at = 0; at < many_writes; ++at) {
+        world.configure(2 + at);
+        world.list_server(0, "ready", 2 + at);
+    }
+    BOOST_REQUIRE(waits_for_version(world, 0, 1 + many_writes));
+    world.store.return_from_copy();
+    world.configure(2 + many_writes);
+    world.list_server(0, "draining", 2 + many_writes);
+    auto const began = std::chrono::steady_clock::now();
+    BOOST_TEST(waits_for_version(world, 0, 2 + many_writes));
+    BOOST_TEST((std::chrono::steady_clock::now() - began < 1s));
+    BOOST_TEST(world.run_until([&world] {
+        return world.ask(0, "GET", "/open/x", "late", "").status == 503;
+    }));
+}
+
+BOOST_AUTO_TEST_CASE(what_was_in_force_stays_until_it_is_written_again)
+{
+    ready_world world{1};
+    world.store.take_copy();
+    world.configure(2, "other");
+    BOOST_REQUIRE(waits_for_version(world, 0, 2));
+    world.store.return_from_copy(); // Holds version 1 only.
+    world.pass(500ms);
+    BOOST_TEST(status_of(world, 0).at("configuration") == 2U);
+    world.configure(2, "other");
+    world.configure(3);
+    BOOST_TEST(waits_for_version(world, 0, 3));
+}
+
+BOOST_AUTO_TEST_CASE(servers_that_the_copy_lacks_are_kept_until_they_write)
+{
+    gateway_world world{1};
+    world.configure(1);
+    world.store.take_copy();
+    world.list_server(0, "ready", 2);
+    world.servers.push_back(std::make_unique<platform_standins::server_standin>(
+        world.context, "i-new"));
+    world.servers.push_back(std::make_unique<platform_standins::server_standin>(
+        world.context, "i-gone"));
+    world.list_server(1, "ready", 1);
+    world.list_server(2, "ready", 1);
+    world.add_gateway();
+    BOOST_REQUIRE(world.wait_ready(0));
+    world.store.return_from_copy();
+    world.pass(800ms);
+    BOOST_TEST(lists_server(world, 0, "i-new"));
+    BOOST_TEST(lists_server(world, 0, "i-gone"));
+    world.list_server(1, "ready", 3);
+    BOOST_TEST(world.run_until(
+        [&world] { return !lists_server(world, 0, "i-gone"); }));
+    BOOST_TEST(lists_server(world, 0, "i-new"));
+}
+
+BOOST_AUTO_TEST_CASE(a_draining_server_stays_draining)
+{
+    ready_world world{2};
+    world.store.take_copy();
+    world.list_server(0, "draining", 5);
+    auto const unused = [&world] {
+        auto const all = status_of(world, 0).at("backend_servers");
+        return all.at(0).at("draining") == true;
+    };
+    BOOST_REQUIRE(world.run_until(unused));
+    auto const before = world.servers[0]->runs().size();
+    world.store.return_from_copy(); // Says that it is ready.
+    for (int at = 0; at < 10; ++at) {
+        world.pass(50ms);
+        auto const id = "id-" + std::to_string(at);
+        BOOST_TEST(world.ask(0, "POST", "/once/a", id).status == 200);
+    }
+    BOOST_TEST(world.servers[0]->runs().size() == before);
+}
+
+BOOST_AUTO_TEST_CASE(members_that_the_copy_lacks_are_written_again)
+{
+    gateway_world world{1};
+    world.configure(1);
+    world.store.take_copy();
+    world.add_fleet(5);
+    for (std::size_t at = 0; at < 5; ++at) {
+        BOOST_REQUIRE(world.wait_ready(at));
+        BOOST_REQUIRE(world.run_until([&] {
+            return world.store.newest(members_topic, member_key(world, at))
+                .has_value();
+        }));
+    }
+    world.pass(1500ms); // They follow each other's news.
+    world.store.return_from_copy();
+    for (std::size_t at = 0; at < 5; ++at) {
+        BOOST_TEST(world.run_until([&] {
+            return world.store.newest(members_topic, member_key(world, at))
+                .has_value();
+        }));
+        BOOST_TEST(status_of(world, at).at("peers").size() == 4U);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_fleet_survives_two_returns_in_a_row)
+{
+    gateway_world world{1};
+    world.configure(1);
+    world.store.take_copy();
+    world.add_fleet(5);
+    for (std::size_t at = 0; at < 5; ++at) {
+        BOOST_REQUIRE(world.wait_ready(at));
+    }
+    for (std::uint64_t at = 0; at < many_writes; ++at) {
+        world.configure(2 + at);
+    }
+    BOOST_REQUIRE(waits_for_version(world, 4, 1 + many_writes));
+    world.store.return_from_copy();
+    world.configure(1 + many_writes);
+    world.pass(30ms);
+    world.store.return_from_copy();
+    world.configure(2 + many_writes);
+    for (std::size_t at = 0; at < 5; ++at) {
+        BOOST_TEST(waits_for_version(world, at, 2 + many_writes));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_daemon_that_starts_after_a_return_takes_no_older_version)
+{
+    // The copy still has a configuration that was replaced since, in which a
+    // key may stand that was taken away.
+    gateway_world world{1};
+    world.configure(1);
+    world.store.take_copy();
+    world.configure(2);
+    world.add_fleet(1);
+    BOOST_REQUIRE(waits_for_version(world, 0, 2));
+    world.store.return_from_copy();
+    world.add_gateway(8s, {member_key(world, 0)});
+    BOOST_TEST(waits_for_version(world, 1, 2));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/libgateway/servers_in_trouble_test.cpp
+++ b/tests/libgateway/servers_in_trouble_test.cpp
@@ -14,21 +14,6 @@
 
 namespace {
 
-/// Lists a raw server and waits until the first gateway knows it.
-void list_raw(gateway_world& world, raw_server const& server)
-{
-    world.store.put("keyed.servers", "i-raw",
-                    R"({"service":"s","address":")" + server.address() +
-                        R"(","zone":"z","version":"v1","slots":4,)"
-                        R"("state":"ready","coldRemainingMs":0,"sequence":1,)"
-                        R"("born":1700000000000})");
-    BOOST_REQUIRE(world.run_until([&world] {
-        auto const state =
-            world.get(world.gateways[0]->settings().peer_address, "/v1/status");
-        return state.body.find("i-raw") != std::string::npos;
-    }));
-}
-
 /// One gateway whose only backend server sends given bytes.
 struct trouble_world : gateway_world
 {
@@ -43,7 +28,7 @@
             return get(gateways[0]->settings().ready_address, "/api/readyz")
                        .status == 200;
         }));
-        list_raw(*this, trouble);
+        list_raw(trouble);
     }
 
     /// \return true if the gateway closes what it got no answer on
@@ -146,7 +131,7 @@
         world.run_until([&] { return world.total_runs() == before + held; }));
     raw_server stuck{world.context,
                      {head + "\r\nid: 1\ndata: event 1\n\n", ":", 100ms}};
-    list_raw(world, stuck);
+    world.list_raw(stuck);
     world.servers[0]->script({kind::answer, 4});
     auto const answer = world.ask(0, "POST", "/resume/a", "id-1");
     BOOST_TEST(stuck.requests() == 1U);
--- a/tests/platform_standins/include/medlarstall/platform_standins/server_standin.hpp
+++ b/tests/platform_standins/include/medlarstall/platform_standins/server_standin.hpp
@@ -21,7 +21,7 @@
     {
         answer,    ///< 200 with a body, or its events.
         fail,      ///< 500.
-        turn_away, ///< 503, not run.
+        turn_away, ///< 503, not run; asks for a pause if it has one.
         cut,       ///< Runs it, sends some events, and breaks off.
         hold       ///< Runs it and does not answer.
     };
@@ -30,6 +30,7 @@
     std::uint64_t events = 0; ///< Of a stream; 0: a plain body.
     /// For a request that resumes a stream: it is answered up to this event.
     std::uint64_t resumed_events = 0;
+    std::string pause; ///< What a turned-away caller is told to wait.
 };
 
 /// A request that a stand-in backend server has run.
@@ -58,6 +59,12 @@
     /// \param next what to do
     void script(behaviour next) { script_.push_back(next); }
 
+    /// Says in all answers from now on that it leaves.
+    void leave() { leaving_ = true; }
+
+    /// \return requests of any kind that have reached it
+    [[nodiscard]] std::size_t arrivals() const { return arrivals_; }
+
     /// \return its entry in the list
     /// \param service name of its service
     /// \param state "ready" or "draining"
@@ -86,6 +93,8 @@
     std::vector<run_record> runs_;
     std::vector<std::unique_ptr<http::exchange>> held_;
     std::size_t abandoned_ = 0;
+    std::size_t arrivals_ = 0;
+    bool leaving_ = false;
 };
 
 } // namespace medlarstall::platform_standins
--- a/tests/platform_standins/include/medlarstall/platform_standins/store_standin.hpp
+++ b/tests/platform_standins/include/medlarstall/platform_standins/store_standin.hpp
@@ -6,6 +6,7 @@
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
 
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <optional>
@@ -46,6 +47,13 @@
     /// \param topic name of the topic
     void compact(std::string const& topic);
 
+    /// Keeps a copy of all topics, for a later return from it.
+    void take_copy() { copy_ = topics_; }
+
+    /// Comes back from the copy: what was written since is gone, its offsets
+    /// are given out again, and the era rises.
+    void return_from_copy();
+
     /// \param mood how to treat callers from now on
     void set_mood(store_mood mood) { mood_ = mood; }
 
@@ -71,6 +79,7 @@
     };
 
     void on_request(std::unique_ptr<http::exchange> caller);
+    void respond(http::exchange& caller, http::response answer) const;
     void answer_newest(http::exchange& caller, topic_log const& log);
     void answer_read(std::shared_ptr<http::exchange> const& caller,
                      std::string const& topic, int waits_left);
@@ -81,6 +90,8 @@
     asio::io_context& context_;
     http::http_listener listener_;
     std::map<std::string, topic_log> topics_;
+    std::map<std::string, topic_log> copy_;
+    std::uint64_t era_ = 1;
     std::vector<std::unique_ptr<http::exchange>> unanswered_;
     store_mood mood_ = store_mood::serving;
     std::size_t calls_ = 0;
--- a/tests/platform_standins/src/server_standin.cpp
+++ b/tests/platform_standins/src/server_standin.cpp
@@ -38,11 +38,15 @@
     }
     head.headers.add("X-Response-Seal", "seal-" + id_);
     head.headers.add("X-Instance-Id", id_);
+    if (leaving_) {
+        head.headers.add("Server-Leaving", "1");
+    }
     return head;
 }
 
 void server_standin::on_request(std::unique_ptr<http::exchange> caller)
 {
+    ++arrivals_;
     auto const& headers = caller->head().headers;
     if (caller->head().target == "/healthz") {
         caller->respond({head_for(*caller, 200), ""});
@@ -61,6 +65,9 @@
     if (next.what == behaviour::kind::turn_away) {
         auto head = head_for(*caller, 503);
         head.headers.add("X-Not-Executed", "1");
+        if (!next.pause.empty()) {
+            head.headers.add("Retry-After", next.pause);
+        }
         caller->respond({head, ""});
         return;
     }
--- a/tests/platform_standins/src/store_standin.cpp
+++ b/tests/platform_standins/src/store_standin.cpp
@@ -45,11 +45,11 @@
     return value;
 }
 
-void respond_json(http::exchange& caller, int status, json const& value)
+http::response json_answer(int status, json const& value)
 {
     http::response answer{{status, {}, {}}, value.dump()};
     answer.head.headers.add("Content-Type", "application/json");
-    caller.respond(answer);
+    return answer;
 }
 
 } // namespace
@@ -91,6 +91,18 @@
     log.first = log.records.size();
 }
 
+void store_standin::return_from_copy()
+{
+    topics_ = copy_;
+    ++era_;
+}
+
+void store_standin::respond(http::exchange& caller, http::response answer) const
+{
+    answer.head.headers.add("Store-Era", std::to_string(era_));
+    caller.respond(answer);
+}
+
 std::optional<std::string> store_standin::newest(std::string const& topic,
                                                  std::string const& key) const
 {
@@ -112,7 +124,7 @@
         return;
     }
     if (mood_ == store_mood::turning_away) {
-        respond_json(*caller, 503, json::object());
+        respond(*caller, json_answer(503, json::object()));
         return;
     }
     auto const target = caller->head().target;
@@ -126,7 +138,7 @@
     } else if (path == "/api/log-append") {
         answer_append(*caller, topic);
     } else {
-        respond_json(*caller, 404, json::object());
+        respond(*caller, json_answer(404, json::object()));
     }
 }
 
@@ -139,10 +151,9 @@
                 {{"key", key}, {"value", to_base64(*value)}, {"offset", at}});
         }
     }
-    respond_json(caller, 200,
-                 {{"items", items},
-                  {"truncated", false},
-                  {"endOffset", log.records.size()}});
+    respond(caller, json_answer(200, {{"items", items},
+                                      {"truncated", false},
+                                      {"endOffset", log.records.size()}}));
 }
 
 void store_standin::answer_read(std::shared_ptr<http::exchange> const& caller,
@@ -150,8 +161,8 @@
 {
     auto const& log = topics_[topic];
     auto const from = number_in(caller->head().target, "from");
-    if (from < log.first) {
-        respond_json(*caller, 410, {{"firstOffset", log.first}});
+    if (from < log.first || from > log.records.size()) {
+        respond(*caller, json_answer(410, {{"firstOffset", log.first}}));
         return;
     }
     if (from >= log.records.size() && waits_left > 0) {
@@ -169,7 +180,7 @@
         auto const& item = log.records[at];
         body += platform::encode_record({item.key, item.value, at});
     }
-    caller->respond({{200, {}, {}}, body});
+    respond(*caller, {{200, {}, {}}, body});
 }
 
 void store_standin::answer_append(http::exchange& caller,
@@ -181,7 +192,8 @@
     auto const value = body.substr(length_bytes + 1 + key_length);
     put(topic, key, value.empty() ? std::nullopt : std::optional{value});
     auto const end = topics_[topic].records.size();
-    respond_json(caller, 200, {{"offset", end - 1}, {"endOffset", end}});
+    respond(caller,
+            json_answer(200, {{"offset", end - 1}, {"endOffset", end}}));
 }
 
 } // namespace medlarstall::platform_standins
