Let callers wait who come before the fleet is known

The ledgers of a store that returns were also read each at its own backoff: the configuration 3.5 s and the members 7 s after the list. Ruled out: a shorter Retry-After alone; callers come back once. Change: such requests wait for a third of their time, 2 s at most, and are served in their order when both the configuration and the list are known (a daemon is ready then, too); one answer of the store lets the ledgers that were not reached be read at once.

--- a/src/libgateway/include/medlarstall/gateway/gateway.hpp
+++ b/src/libgateway/include/medlarstall/gateway/gateway.hpp
@@ -4,6 +4,7 @@
 #include <medlarstall/dispatch/dispatcher.hpp>
 #include <medlarstall/gateway/connection_pool.hpp>
 #include <medlarstall/gateway/decision_log.hpp>
+#include <medlarstall/gateway/early_callers.hpp>
 #include <medlarstall/gateway/fetch_turns.hpp>
 #include <medlarstall/gateway/forwarded_request.hpp>
 #include <medlarstall/gateway/gateway_metrics.hpp>
@@ -122,11 +123,17 @@
 
     void on_request(std::unique_ptr<http::exchange> caller);
     void on_control(std::unique_ptr<http::exchange> caller);
+    void let_wait(std::unique_ptr<http::exchange> caller,
+                  request_facts const& facts);
+    void refuse_waiting(std::vector<early_caller> const& waiting);
+    void serve_waiting();
     bool refuse_unroutable(http::exchange& caller,
                            admitted_request const& request);
     void refuse_entry(http::exchange& caller, int status, char const* code,
                       std::string const& attempt_id);
     bool is_ready() const;
+    bool knows_fleet() const;
+    void serve_waiting_soon();
     std::chrono::milliseconds return_time(std::string const& attempt_id) const;
     http::response records_answer(std::string_view target) const;
     http::response status_answer() const;
@@ -135,6 +142,7 @@
     bool on_backend_server(record const& item);
     void on_member(record const& item);
     void on_store_restored(ledger which, std::uint64_t era);
+    void read_unreachable_now();
     void restore_registration();
     void on_store_reachable(ledger which, bool reachable, char const* reason);
     void log_list_change(std::string const& id, dispatch::list_change change,
@@ -205,6 +213,7 @@
     std::shared_ptr<record_follower> servers_follower_;
     std::shared_ptr<record_follower> members_follower_;
     asio::steady_timer tick_timer_;
+    early_callers early_;
     std::set<std::shared_ptr<forwarded_request>> requests_;
     std::set<std::shared_ptr<http::upstream_connection>> side_calls_;
     std::vector<prompt_note> prompts_to_tell_;
--- a/src/libgateway/include/medlarstall/gateway/record_follower.hpp
+++ b/src/libgateway/include/medlarstall/gateway/record_follower.hpp
@@ -96,6 +96,9 @@
         return next_.value_or(store_position{});
     }
 
+    /// \return true once the ledger has been read
+    [[nodiscard]] bool has_read() const { return next_.has_value(); }
+
     /// \return position behind the last record that matters
     [[nodiscard]] store_position changed_to() const { return changed_to_; }
 
--- a/src/libgateway/src/gateway.cpp
+++ b/src/libgateway/src/gateway.cpp
@@ -275,6 +275,7 @@
     dispatcher_.set_routes(table_);
     entry_.set_limits({limits.head_bytes, limits.body_bytes,
                        limits.head_timeout, limits.idle_timeout});
+    serve_waiting_soon();
 }
 
 /// \return true if more has changed than the number of the entry
@@ -298,6 +299,9 @@
         change = dispatcher_.remove(item.key, now);
     }
     log_list_change(item.key, change, item.offset);
+    if (change == dispatch::list_change::added) {
+        serve_waiting_soon();
+    }
     return change != dispatch::list_change::none &&
            change != dispatch::list_change::repeated;
 }
@@ -376,6 +380,20 @@
         .with("ledger", name_of(which))
         .with("reachable", reachable ? "yes" : "no")
         .with("reason", reason);
+    if (reachable) {
+        read_unreachable_now();
+    }
+}
+
+/// A store that answers for one ledger may serve the others again, too.
+void gateway::read_unreachable_now()
+{
+    for (auto const& follower :
+         {configuration_follower_, servers_follower_, members_follower_}) {
+        if (follower && !follower->store_reachable()) {
+            follower->read_now();
+        }
+    }
 }
 
 /// What was written since the copy is gone, until its writers write it again.
--- a/src/libgateway/src/gateway_requests.cpp
+++ b/src/libgateway/src/gateway_requests.cpp
@@ -65,7 +65,13 @@
 
 bool gateway::is_ready() const
 {
-    return !stopping_since_ && table_ != nullptr;
+    return !stopping_since_ && knows_fleet();
+}
+
+/// \return true once it is known what to serve, and where
+bool gateway::knows_fleet() const
+{
+    return table_ != nullptr && servers_follower_->has_read();
 }
 
 /// \return when a caller that is refused should come back
@@ -115,9 +121,8 @@
     admitted_request request;
     request.facts = std::move(value_of(facts));
     request.table = table_;
-    if (!table_) {
-        refuse_entry(*caller, unavailable, "no_configuration",
-                     request.facts.attempt_id);
+    if (!knows_fleet()) {
+        let_wait(std::move(caller), request.facts);
         return;
     }
     if (stopping_since_ &&
@@ -155,6 +160,44 @@
     made->start();
 }
 
+/// Lets a request wait until the fleet is known, or refuses it.
+void gateway::let_wait(std::unique_ptr<http::exchange> caller,
+                       request_facts const& facts)
+{
+    constexpr milliseconds unstated_time{3000};
+    auto const left = facts.time_left.value_or(unstated_time);
+    early_caller arrived{std::move(caller), facts.attempt_id, {}};
+    arrived.until = arrived.caller->read_at() + early_callers::patience(left);
+    if (stopping_since_ || !early_.add(arrived)) {
+        refuse_entry(*arrived.caller, unavailable, "no_configuration",
+                     arrived.attempt_id);
+    }
+}
+
+void gateway::refuse_waiting(std::vector<early_caller> const& waiting)
+{
+    for (auto const& item : waiting) {
+        refuse_entry(*item.caller, unavailable, "no_configuration",
+                     item.attempt_id);
+    }
+}
+
+/// Serves those who have waited, after what is being read has been taken in.
+void gateway::serve_waiting_soon()
+{
+    asio::post(context_, [this] { serve_waiting(); });
+}
+
+void gateway::serve_waiting()
+{
+    if (!knows_fleet()) {
+        return;
+    }
+    for (auto& item : early_.take_all()) {
+        on_request(std::move(item.caller));
+    }
+}
+
 bool gateway::refuse_unroutable(http::exchange& caller,
                                 admitted_request const& request)
 {
--- a/src/libgateway/src/gateway_upkeep.cpp
+++ b/src/libgateway/src/gateway_upkeep.cpp
@@ -70,6 +70,7 @@
             .with("offset", servers_follower_->position().offset);
     });
     check_requests(now);
+    refuse_waiting(early_.take_expired(now));
     send_probes(now);
     learn_kept_parts(now);
     update_cell();
@@ -264,6 +265,7 @@
         .with("connections", entry_.size())
         .with("grace", settings_.grace);
     register_member(false);
+    refuse_waiting(early_.take_all());
     entry_.drain();
     send_news(*stopping_since_);
 }
--- a/tests/libgateway/gateway_test.cpp
+++ b/tests/libgateway/gateway_test.cpp
@@ -66,6 +66,28 @@
     BOOST_TEST(answer.headers.contains("Retry-After"));
 }
 
+BOOST_AUTO_TEST_CASE(callers_that_come_too_early_are_served_when_it_is_known)
+{
+    // All daemons had lost power while the store was away: 1,700 requests were
+    // refused, and those that came back were late.
+    gateway_world world{1};
+    world.store.set_mood(store_mood::turning_away);
+    world.add_gateway();
+    std::vector<std::shared_ptr<caller_answer>> early;
+    for (int at = 0; at < 20; ++at) {
+        early.push_back(
+            world.send(0, "POST", "/once/a", "id-" + std::to_string(at)));
+    }
+    world.pass(std::chrono::milliseconds{300});
+    world.configure(1);
+    world.store.set_mood(store_mood::serving);
+    for (auto const& answer : early) {
+        BOOST_TEST(world.run_until([&] { return answer->over(); }));
+        BOOST_TEST(answer->status == 200);
+    }
+    BOOST_TEST(world.total_runs() == 20U);
+}
+
 BOOST_AUTO_TEST_CASE(in_an_outage_callers_are_told_to_come_back_later)
 {
     // All daemons had lost their memory while the store was away, and callers
