Refuse under overload, the least urgent first

Hypothesis: fewer in flight, the least urgent kept out first, serve more callers. Change: admission_policy refuses what would miss its objective at its best backend server (estimate_scale learns how far estimates are off) and what finds more in flight than one batch (least urgent) to two batches (most urgent) in the mean of its service; one in five of each rank has the limits of the most urgent, so that every rank keeps being served.

--- a/src/libdispatch/include/medlarstall/dispatch/dispatcher.hpp
+++ b/src/libdispatch/include/medlarstall/dispatch/dispatcher.hpp
@@ -2,8 +2,10 @@
 #define MEDLARSTALL_DISPATCH_DISPATCHER_HPP
 
 #include <medlarstall/dispatch/crash_ledger.hpp>
+#include <medlarstall/dispatch/estimate_scale.hpp>
 #include <medlarstall/dispatch/fleet_cells.hpp>
 #include <medlarstall/dispatch/listed_servers.hpp>
+#include <medlarstall/dispatch/mechanism.hpp>
 #include <medlarstall/dispatch/part_cache.hpp>
 #include <medlarstall/dispatch/placement_cost.hpp>
 #include <medlarstall/dispatch/requested_pause.hpp>
@@ -28,6 +30,7 @@
 {
     std::string data_centre;
     retry_limits retries;
+    left_out without; ///< For measurements.
 };
 
 /// A request that looks for a backend server. Plain data.
@@ -48,6 +51,8 @@
     std::size_t candidates = 0;
     cost_ms cost = 0;
     cost_ms expected_first_event = 0;
+    double estimate_factor = 1; ///< From such estimates to real times.
+    double mean_batches = 0;    ///< In flight at all candidates, in batches.
     std::uint32_t cached_tokens = 0;
     std::uint32_t copied_tokens = 0;
     std::string copy_from; ///< Address to copy them from.
@@ -290,6 +295,13 @@
     [[nodiscard]] bool try_retry(std::string const& service,
                                  std::size_t daemons, time_point now);
 
+    /// \param part of the decisions
+    /// \return true unless it is left out for a measurement
+    [[nodiscard]] bool uses(mechanism part) const
+    {
+        return !settings_.without.contains(part);
+    }
+
     /// \return requests that crash backend servers
     [[nodiscard]] crash_ledger& crashes() { return crashes_; }
 
@@ -354,6 +366,7 @@
     static void copy_where_possible(candidate& judged, comparison const& others,
                                     routes::service const* service);
     server_load total_load(server_record const& record, time_point now) const;
+    void leave_out(candidate& judged) const;
     candidate judge(listed_servers::belief const& belief,
                     server_record const& record, work const& wanted,
                     comparison const& others, time_point now) const;
@@ -369,6 +382,7 @@
     listed_servers list_;
     std::map<std::string, server_record, std::less<>> records_;
     std::map<std::string, retry_window, std::less<>> retries_;
+    std::map<std::string, estimate_scale, std::less<>> estimates_;
     crash_ledger crashes_;
     std::uint64_t starts_ = 0;
     fleet_cell cell_;
--- a/src/libdispatch/src/dispatcher.cpp
+++ b/src/libdispatch/src/dispatcher.cpp
@@ -187,6 +187,8 @@
     record.own.prefill_tokens -= held.prefill_tokens;
     auto const took = milliseconds{now - held.sent}.count();
     if (held.memory_tokens > 0) {
+        estimates_[held.service].note(milliseconds{held.expected_first_event},
+                                      now - held.sent);
         auto const expected = held.expected_first_event / record.slowness;
         auto const factor = std::clamp(took / std::max(expected, 1.0),
                                        least_slowness, most_slowness);
@@ -209,6 +211,8 @@
     record.own.sensitive -= held.sensitivity;
     if (!held.answered) {
         record.own.prefill_tokens -= held.prefill_tokens;
+        estimates_[held.service].note_at_least(
+            milliseconds{held.expected_first_event}, now - held.sent);
         auto const took = milliseconds{now - held.sent}.count();
         if (held.memory_tokens <= 0 && took > record.latency_ms) {
             record.latency_ms += latency_weight * (took - record.latency_ms);
--- a/src/libdispatch/src/dispatcher_choice.cpp
+++ b/src/libdispatch/src/dispatcher_choice.cpp
@@ -158,9 +158,37 @@
             judged.home_rank = most_homes;
         }
     }
+    leave_out(judged);
     return judged;
 }
 
+/// Forgets what the mechanisms that are left out would tell of a candidate.
+void dispatcher::leave_out(candidate& judged) const
+{
+    if (!uses(mechanism::homes)) {
+        judged.home_rank = most_homes;
+    }
+    if (!uses(mechanism::copies)) {
+        judged.copied_tokens = 0;
+    }
+    if (!uses(mechanism::affinity)) {
+        judged.cached_elsewhere = false;
+    }
+    if (!uses(mechanism::sensitivity)) {
+        judged.load.sensitive = 0;
+        judged.load.reading_share = 0;
+    }
+    if (!uses(mechanism::slowness)) {
+        judged.slowness = 1.0;
+    }
+    if (!uses(mechanism::failures)) {
+        judged.excess_failures = 0;
+    }
+    if (!uses(mechanism::memory)) {
+        judged.memory_tokens = 0;
+    }
+}
+
 bool dispatcher::may_use(known_server const& server, work const& wanted,
                          health worst, time_point now)
 {
@@ -180,6 +208,8 @@
 {
     std::optional<placement> best;
     std::size_t candidates = 0;
+    double in_flight = 0;
+    double slots = 0;
     auto const others = compare(among, wanted, worst, now);
     for (auto const& server : among) {
         if (!may_use(server, wanted, worst, now)) {
@@ -189,6 +219,8 @@
         auto const& belief = *server.belief;
         auto const& record = *server.record;
         auto const judged = judge(belief, record, wanted, others, now);
+        in_flight += judged.load.in_flight;
+        slots += judged.slots;
         auto const cost = wanted.asked ? prompt_cost(judged, *wanted.asked,
                                                      wanted.sensitivity)
                                        : plain_cost(judged);
@@ -204,6 +236,8 @@
             0,
             jittered,
             wanted.asked ? expected_first_event(judged, *wanted.asked) : cost,
+            1.0,
+            0.0,
             judged.cached_tokens,
             judged.copied_tokens,
             judged.copied_tokens > 0 ? others.holder : "",
@@ -214,6 +248,7 @@
     }
     if (best) {
         best->candidates = candidates;
+        best->mean_batches = in_flight / slots;
     }
     return best;
 }
@@ -229,6 +264,7 @@
     for (auto const worst : {health::up, health::suspect, health::down}) {
         for (auto const* const among : {&in_cell, &all}) {
             if (auto chosen = choose_among(*among, wanted, worst, now)) {
+                chosen->estimate_factor = estimates_[wanted.service].factor();
                 return chosen;
             }
         }
--- a/src/libgateway/include/medlarstall/gateway/forwarded_request.hpp
+++ b/src/libgateway/include/medlarstall/gateway/forwarded_request.hpp
@@ -112,6 +112,8 @@
     void arm_deadline();
     void look_for_server();
     void look_again_after(duration pause);
+    std::optional<std::chrono::milliseconds>
+    refusal(dispatch::placement const& where, time_point now) const;
     void send_to(dispatch::placement const& where);
     std::uint32_t urgency() const;
     std::string request_text(dispatch::placement const& where) const;
--- a/src/libgateway/include/medlarstall/gateway/gateway.hpp
+++ b/src/libgateway/include/medlarstall/gateway/gateway.hpp
@@ -43,6 +43,7 @@
     std::optional<asio::ip::tcp::endpoint> metrics_address;
     std::vector<std::string> seeds; ///< Peer addresses of some daemons.
     dispatch::retry_limits retries;
+    dispatch::left_out without;                    ///< For measurements.
     std::chrono::milliseconds grace{8000};         ///< From stop to the end.
     std::chrono::milliseconds directory_ttl{2000}; ///< Of its answers.
     std::size_t most_connections = 1024;
--- a/src/libgateway/src/forwarded_request.cpp
+++ b/src/libgateway/src/forwarded_request.cpp
@@ -1,5 +1,6 @@
 #include <medlarstall/gateway/forwarded_request.hpp>
 
+#include <medlarstall/dispatch/admission_policy.hpp>
 #include <medlarstall/dispatch/waiting_policy.hpp>
 
 #include <xxhash.h>
@@ -19,6 +20,7 @@
 constexpr milliseconds least_useful_time{5};
 constexpr milliseconds silent_stream{1200};
 constexpr milliseconds crash_return{5000};
+constexpr double percent = 100.0;
 
 std::uint64_t hash_of(std::string_view text, std::uint64_t seed = 0)
 {
@@ -122,7 +124,11 @@
     }
     auto const where = shared_.dispatcher.choose(work_to_place(), now);
     if (where) {
-        send_to(*where);
+        if (auto const back = refusal(*where, now)) {
+            refuse("overloaded", *back);
+        } else {
+            send_to(*where);
+        }
         return;
     }
     auto const pause =
@@ -137,6 +143,44 @@
     }
 }
 
+/// \return when the caller should come back, if the request must not be sent
+std::optional<milliseconds>
+forwarded_request::refusal(dispatch::placement const& where,
+                           time_point now) const
+{
+    auto const decides =
+        shared_.dispatcher.uses(dispatch::mechanism::admission);
+    if (!decides || !request_.facts.asked || sends_ > 0) {
+        return std::nullopt;
+    }
+    using fraction_ms = std::chrono::duration<double, std::milli>;
+    dispatch::admission_facts facts;
+    facts.objective = request_.route->objective;
+    facts.waited = now - began_;
+    facts.expected_first = std::chrono::duration_cast<duration>(
+        fraction_ms{where.expected_first_event} * where.estimate_factor);
+    facts.mean_batches = where.mean_batches;
+    facts.urgency = urgency();
+    facts.urgencies = request_.table->urgencies().ranks();
+    facts.hash = hash_;
+    auto const back = dispatch::refusal_of(facts);
+    if (back) {
+        decision_line{shared_.log, line_kind::failure, "refused"}
+            .with("id", request_.facts.attempt_id)
+            .with("server", where.backend_server)
+            .with("urgency", facts.urgency)
+            .with("expected_first", facts.expected_first)
+            .with("estimate_percent",
+                  static_cast<std::int64_t>(where.estimate_factor * percent))
+            .with("batches_percent",
+                  static_cast<std::int64_t>(facts.mean_batches * percent))
+            .with("waited", facts.waited)
+            .with("entry_age", where.entry_age)
+            .with("back", *back);
+    }
+    return back;
+}
+
 void forwarded_request::look_again_after(duration pause)
 {
     wait_timer_.expires_after(pause);
@@ -206,6 +250,8 @@
         .with("cost", static_cast<std::int64_t>(where.cost))
         .with("expected_first_ms",
               static_cast<std::int64_t>(where.expected_first_event))
+        .with("estimate_percent",
+              static_cast<std::int64_t>(where.estimate_factor * percent))
         .with("cached_tokens", where.cached_tokens)
         .with("copied_tokens", where.copied_tokens)
         .with("in_flight", static_cast<std::int64_t>(where.in_flight))
--- a/src/libgateway/src/gateway.cpp
+++ b/src/libgateway/src/gateway.cpp
@@ -55,7 +55,9 @@
                  gateway_translations translations, int log_descriptor)
     : context_{context}, settings_{std::move(settings)},
       translations_{std::move(translations)}, log_{log_descriptor},
-      dispatcher_{{settings_.data_centre, settings_.retries}}, pool_{context},
+      dispatcher_{
+          {settings_.data_centre, settings_.retries, settings_.without}},
+      pool_{context},
       link_{context,
             [this](std::string const& from, std::string_view bytes) {
                 on_news(from, bytes);
@@ -223,7 +225,8 @@
     settings_.grace = settings.grace;
     settings_.directory_ttl = settings.directory_ttl;
     settings_.data_centre = settings.data_centre;
-    dispatcher_.set_settings({settings_.data_centre, settings_.retries});
+    dispatcher_.set_settings(
+        {settings_.data_centre, settings_.retries, settings_.without});
     auto const now = decision_clock::now();
     for (auto const& seed : settings.seeds) {
         if (seed != text_of(settings_.peer_address)) {
--- a/src/libgateway/src/gateway_requests.cpp
+++ b/src/libgateway/src/gateway_requests.cpp
@@ -168,7 +168,9 @@
     auto const left = facts.time_left.value_or(unstated_time);
     early_caller arrived{std::move(caller), facts.attempt_id, {}};
     arrived.until = arrived.caller->read_at() + early_callers::patience(left);
-    if (stopping_since_ || !early_.add(arrived)) {
+    auto const may_wait = !stopping_since_ &&
+                          dispatcher_.uses(dispatch::mechanism::early_callers);
+    if (!may_wait || !early_.add(arrived)) {
         refuse_entry(*arrived.caller, unavailable, "no_configuration",
                      arrived.attempt_id);
     }
--- a/tests/libgateway/gateway_test.cpp
+++ b/tests/libgateway/gateway_test.cpp
@@ -88,6 +88,40 @@
     BOOST_TEST(world.total_runs() == 20U);
 }
 
+BOOST_AUTO_TEST_CASE(under_overload_callers_are_told_when_to_come_back)
+{
+    ready_world world{1};
+    constexpr int held = 9; // Of a backend server with 4 slots.
+    std::vector<std::shared_ptr<caller_answer>> answers;
+    auto const ask = [&](std::string const& id) {
+        answers.push_back(
+            world.send(0, "POST", "/once/a", id, "key-small", "900,50"));
+    };
+    for (int at = 0; at < held; ++at) {
+        world.servers[0]->script({kind::hold});
+        ask("held-" + std::to_string(at));
+        world.pass(std::chrono::milliseconds{2});
+    }
+    world.pass(std::chrono::milliseconds{50});
+    auto const before = world.runs();
+    constexpr int more = 20;
+    for (int at = 0; at < more; ++at) {
+        ask("more-" + std::to_string(at));
+    }
+    world.pass(std::chrono::milliseconds{200});
+    int refused = 0;
+    for (auto const& answer : answers) {
+        refused += answer->status == 503 ? 1 : 0;
+        if (answer->status == 503) {
+            BOOST_TEST(answer->headers.contains("Retry-After"));
+        }
+    }
+    BOOST_TEST(refused > more / 2);
+    BOOST_TEST(world.runs() + refused == held + more); // Refused: not run.
+    BOOST_TEST(before <= held);
+    world.servers[0]->release_held();
+}
+
 BOOST_AUTO_TEST_CASE(in_an_outage_callers_are_told_to_come_back_later)
 {
     // All daemons had lost their memory while the store was away, and callers
--- a/tests/libgateway/gateway_world.cpp
+++ b/tests/libgateway/gateway_world.cpp
@@ -142,11 +142,10 @@
 
 } // namespace
 
-std::shared_ptr<caller_answer> gateway_world::send(std::size_t gateway,
-                                                   std::string const& method,
-                                                   std::string const& path,
-                                                   std::string const& id,
-                                                   std::string const& key)
+std::shared_ptr<caller_answer>
+gateway_world::send(std::size_t gateway, std::string const& method,
+                    std::string const& path, std::string const& id,
+                    std::string const& key, std::string const& tokens)
 {
     auto answer = std::make_shared<caller_answer>();
     auto connection = std::make_shared<http::upstream_connection>(
@@ -157,6 +156,9 @@
     head.headers.add("X-Attempt-Id", id);
     head.headers.add("X-Deadline-Ms", "5000");
     head.headers.add("X-Hold", "not-yours");
+    if (!tokens.empty()) {
+        head.headers.add("X-Token-Count", tokens);
+    }
     if (!key.empty()) {
         head.headers.add("Authorization", "Token " + key);
     }
--- a/tests/libgateway/gateway_world.hpp
+++ b/tests/libgateway/gateway_world.hpp
@@ -65,12 +65,11 @@
     /// \return false if it does not come to hold
     bool run_until(std::function<bool()> const& holds);
 
-    /// Sends a request to a gateway.
-    std::shared_ptr<caller_answer> send(std::size_t gateway,
-                                        std::string const& method,
-                                        std::string const& path,
-                                        std::string const& id,
-                                        std::string const& key = "key-small");
+    /// Sends a request to a gateway; one to a model if it names tokens.
+    std::shared_ptr<caller_answer>
+    send(std::size_t gateway, std::string const& method,
+         std::string const& path, std::string const& id,
+         std::string const& key = "key-small", std::string const& tokens = "");
 
     /// Sends a request and waits for the end of its answer.
     caller_answer ask(std::size_t gateway, std::string const& method,
