Retry a returning store only for what failed, name things for what they are

One answer of the store made every ledger that had not been answered yet be read anew, also where its first read was still under way: three calls more at each start of a daemon. A configuration that outlasts a restore was handed on although the store held the same text. refusal() decided and logged in one const function; note_wishes said little. Conclusion: behaviour as before but for the calls at a start.

--- a/scripts/lost_credit.py
+++ b/scripts/lost_credit.py
@@ -2,7 +2,7 @@
 
 Usage: lost_credit.py BENCH SITE... [--seeds N] [--jobs N]
 Plays each standard day with the bench's report and the gateways' log lines, and
-prints two tables for docs/design/worst-load.md: what each day loses, and why
+prints two tables for docs/DECISIONS.md: what each day loses, and why
 requests were late or not answered. Processor time is not counted.
 """
 
--- a/src/libgateway/include/medlarstall/gateway/forwarded_request.hpp
+++ b/src/libgateway/include/medlarstall/gateway/forwarded_request.hpp
@@ -1,6 +1,7 @@
 #ifndef MEDLARSTALL_GATEWAY_FORWARDED_REQUEST_HPP
 #define MEDLARSTALL_GATEWAY_FORWARDED_REQUEST_HPP
 
+#include <medlarstall/dispatch/admission_policy.hpp>
 #include <medlarstall/dispatch/attempt_policy.hpp>
 #include <medlarstall/dispatch/dispatcher.hpp>
 #include <medlarstall/gateway/connection_pool.hpp>
@@ -42,7 +43,8 @@
     /// Notes that a backend server could not be reached.
     std::function<void(std::string const&)> note_unreachable;
     /// Takes in what a backend server says of itself along with an answer.
-    std::function<void(std::string const&, answer_facts const&)> note_wishes;
+    std::function<void(std::string const&, answer_facts const&)>
+        note_server_facts;
 };
 
 /// A request with the route and the configuration that it began under.
@@ -112,8 +114,9 @@
     void arm_deadline();
     void look_for_server();
     void look_again_after(duration pause);
-    std::optional<std::chrono::milliseconds>
-    refusal(dispatch::placement const& where, time_point now) const;
+    void send_or_refuse(dispatch::placement const& where, time_point now);
+    dispatch::admission_facts admission(dispatch::placement const& where,
+                                        time_point now) const;
     void send_to(dispatch::placement const& where);
     std::uint32_t urgency() const;
     std::string request_text(dispatch::placement const& where) const;
--- a/src/libgateway/include/medlarstall/gateway/gateway.hpp
+++ b/src/libgateway/include/medlarstall/gateway/gateway.hpp
@@ -143,7 +143,6 @@
     bool on_backend_server(record const& item);
     void on_member(record const& item);
     void on_store_restored(ledger which, std::uint64_t era);
-    void read_unreachable_now();
     void restore_registration();
     void on_store_reachable(ledger which, bool reachable, char const* reason);
     void log_list_change(std::string const& id, dispatch::list_change change,
@@ -169,7 +168,7 @@
     void on_probe(std::string const& id, bool good, char const* reason);
     void on_unreachable(std::string const& id);
     void note_down(std::string const& id, time_point now);
-    void note_wishes(std::string const& id, answer_facts const& facts);
+    void note_server_facts(std::string const& id, answer_facts const& facts);
     void log_leaving(std::string const& id, std::string const& told_by);
     void log_health(std::string const& id, dispatch::health before,
                     dispatch::health after, char const* reason);
@@ -226,7 +225,7 @@
     bool list_reachable_ = false;
     std::string configuration_key_; ///< Of the record in force.
     /// The configuration in force if the restored store holds an older one.
-    std::optional<std::string> outlasting_configuration_;
+    std::optional<std::string> unrestored_configuration_;
     std::optional<time_point> members_restored_;
     bool registration_doubtful_ = false; ///< In the list of members.
     time_point caught_up_; ///< With a daemon that reads the store.
--- a/src/libgateway/include/medlarstall/gateway/record_follower.hpp
+++ b/src/libgateway/include/medlarstall/gateway/record_follower.hpp
@@ -67,6 +67,9 @@
     /// Reads at once, for example after the machine has slept.
     void read_now();
 
+    /// Reads at once if it waits after a failed read.
+    void retry_now();
+
     /// Sets whether this daemon is one of those that read all the time. The
     /// others learn of records from them, and look themselves now and then.
     /// \param eager true if it reads all the time
@@ -152,6 +155,7 @@
     std::uint64_t turn_ = 0;
     bool forgotten_ = false; ///< A whole read must make up for a gap.
     bool reachable_ = false;
+    bool backing_off_ = false; ///< Waits after a failed read.
     bool eager_ = false;
     bool told_ = false;
     bool stopped_ = false;
--- a/src/libgateway/src/forwarded_request.cpp
+++ b/src/libgateway/src/forwarded_request.cpp
@@ -124,11 +124,7 @@
     }
     auto const where = shared_.dispatcher.choose(work_to_place(), now);
     if (where) {
-        if (auto const back = refusal(*where, now)) {
-            refuse("overloaded", *back);
-        } else {
-            send_to(*where);
-        }
+        send_or_refuse(*where, now);
         return;
     }
     auto const pause =
@@ -143,16 +139,42 @@
     }
 }
 
-/// \return when the caller should come back, if the request must not be sent
-std::optional<milliseconds>
-forwarded_request::refusal(dispatch::placement const& where,
-                           time_point now) const
+/// Sends a request to its choice. A first send to a model is refused if there
+/// is too much to do already.
+void forwarded_request::send_or_refuse(dispatch::placement const& where,
+                                       time_point now)
 {
     auto const decides =
         shared_.dispatcher.uses(dispatch::mechanism::admission);
     if (!decides || !request_.facts.asked || sends_ > 0) {
-        return std::nullopt;
+        send_to(where);
+        return;
+    }
+    auto const facts = admission(where, now);
+    auto const back = dispatch::refusal_of(facts);
+    if (!back) {
+        send_to(where);
+        return;
     }
+    decision_line{shared_.log, line_kind::failure, "refused"}
+        .with("id", request_.facts.attempt_id)
+        .with("server", where.backend_server)
+        .with("urgency", facts.urgency)
+        .with("expected_first", facts.expected_first)
+        .with("estimate_percent",
+              static_cast<std::int64_t>(where.estimate_factor * percent))
+        .with("batches_percent",
+              static_cast<std::int64_t>(facts.mean_batches * percent))
+        .with("waited", facts.waited)
+        .with("entry_age", where.entry_age)
+        .with("back", *back);
+    refuse("overloaded", *back);
+}
+
+dispatch::admission_facts
+forwarded_request::admission(dispatch::placement const& where,
+                             time_point now) const
+{
     using fraction_ms = std::chrono::duration<double, std::milli>;
     dispatch::admission_facts facts;
     facts.objective = request_.route->objective;
@@ -163,22 +185,7 @@
     facts.urgency = urgency();
     facts.urgencies = request_.table->urgencies().ranks();
     facts.hash = hash_;
-    auto const back = dispatch::refusal_of(facts);
-    if (back) {
-        decision_line{shared_.log, line_kind::failure, "refused"}
-            .with("id", request_.facts.attempt_id)
-            .with("server", where.backend_server)
-            .with("urgency", facts.urgency)
-            .with("expected_first", facts.expected_first)
-            .with("estimate_percent",
-                  static_cast<std::int64_t>(where.estimate_factor * percent))
-            .with("batches_percent",
-                  static_cast<std::int64_t>(facts.mean_batches * percent))
-            .with("waited", facts.waited)
-            .with("entry_age", where.entry_age)
-            .with("back", *back);
-    }
-    return back;
+    return facts;
 }
 
 void forwarded_request::look_again_after(duration pause)
--- a/src/libgateway/src/forwarded_request_relay.cpp
+++ b/src/libgateway/src/forwarded_request_relay.cpp
@@ -33,8 +33,8 @@
 
 void forwarded_request::on_interim(http::response_head const& head)
 {
-    shared_.note_wishes(send_->where.backend_server,
-                        shared_.protocol.read_answer(head));
+    shared_.note_server_facts(send_->where.backend_server,
+                              shared_.protocol.read_answer(head));
 }
 
 void forwarded_request::on_head(http::response_head& head)
@@ -43,7 +43,7 @@
     auto const facts = shared_.protocol.read_answer(head);
     auto const& server = send_->where.backend_server;
     send_->last_progress = now;
-    shared_.note_wishes(server, facts);
+    shared_.note_server_facts(server, facts);
     if (facts.load) {
         shared_.dispatcher.note_report(server, *facts.load, now);
     }
--- a/src/libgateway/src/gateway.cpp
+++ b/src/libgateway/src/gateway.cpp
@@ -97,7 +97,7 @@
             },
             [this](std::string const& id) { on_unreachable(id); },
             [this](std::string const& id, answer_facts const& facts) {
-                note_wishes(id, facts);
+                note_server_facts(id, facts);
             }};
 }
 
@@ -266,7 +266,7 @@
         return;
     }
     configuration_key_ = item.key;
-    outlasting_configuration_.reset();
+    unrestored_configuration_.reset();
     auto const limits = content.limits;
     decision_line{log_, line_kind::belief, "configuration"}
         .with("version", content.version)
@@ -353,7 +353,8 @@
 }
 
 /// Takes in what a backend server says of itself along with an answer.
-void gateway::note_wishes(std::string const& id, answer_facts const& facts)
+void gateway::note_server_facts(std::string const& id,
+                                answer_facts const& facts)
 {
     auto const now = decision_clock::now();
     if (facts.leaving && dispatcher_.note_leaving(id, now)) {
@@ -383,19 +384,13 @@
         .with("ledger", name_of(which))
         .with("reachable", reachable ? "yes" : "no")
         .with("reason", reason);
-    if (reachable) {
-        read_unreachable_now();
+    if (!reachable) {
+        return;
     }
-}
-
-/// A store that answers for one ledger may serve the others again, too.
-void gateway::read_unreachable_now()
-{
+    // It may serve the other ledgers again, too.
     for (auto const& follower :
          {configuration_follower_, servers_follower_, members_follower_}) {
-        if (follower && !follower->store_reachable()) {
-            follower->read_now();
-        }
+        follower->retry_now();
     }
 }
 
@@ -408,8 +403,8 @@
         .with("ledger", name_of(which))
         .with("era", era)
         .with("before", follower_of(which).position().era);
-    if (which == ledger::configuration && !outlasting_configuration_) {
-        outlasting_configuration_ =
+    if (which == ledger::configuration && !unrestored_configuration_) {
+        unrestored_configuration_ =
             configuration_follower_->value_of(configuration_key_);
     } else if (which == ledger::backend_servers) {
         dispatcher_.note_list_restored(now);
--- a/src/libgateway/src/gateway_parts.cpp
+++ b/src/libgateway/src/gateway_parts.cpp
@@ -123,7 +123,8 @@
     side_call(
         *address, {"GET", translations_.kept_parts_path, {}}, ask_timeout,
         [this, id = entry.id](http::response const& answer) {
-            note_wishes(id, translations_.protocol.read_answer(answer.head));
+            note_server_facts(id,
+                              translations_.protocol.read_answer(answer.head));
             auto const parts = translations_.read_kept_parts(answer.body);
             if (answer.head.status != ok || failed(parts)) {
                 return;
--- a/src/libgateway/src/gateway_requests.cpp
+++ b/src/libgateway/src/gateway_requests.cpp
@@ -262,11 +262,13 @@
             which != ledger::backend_servers || tells_all_changes();
         auto page = follower_of(which).changes(
             after, all ? change_choice::all : change_choice::that_matter);
-        if (which == ledger::configuration && outlasting_configuration_) {
+        auto const& unrestored = unrestored_configuration_;
+        if (which == ledger::configuration && unrestored &&
+            unrestored !=
+                configuration_follower_->value_of(configuration_key_)) {
             // Before what the store will write next.
             auto const before = page.next_offset > 0 ? page.next_offset - 1 : 0;
-            page.records.push_back(
-                {configuration_key_, outlasting_configuration_, before});
+            page.records.push_back({configuration_key_, unrestored, before});
         }
         return cbor_answer(encode(page));
     }
--- a/src/libgateway/src/gateway_upkeep.cpp
+++ b/src/libgateway/src/gateway_upkeep.cpp
@@ -142,7 +142,7 @@
 {
     auto const facts = translations_.protocol.read_answer(answer.head);
     if (facts.backend_server.value_or(id) == id) {
-        note_wishes(id, facts);
+        note_server_facts(id, facts);
     }
     if (answer.head.status == no_answer) {
         on_probe(id, false, "silent");
--- a/src/libgateway/src/record_follower.cpp
+++ b/src/libgateway/src/record_follower.cpp
@@ -54,11 +54,19 @@
     read();
 }
 
+void record_follower::retry_now()
+{
+    if (backing_off_) {
+        read_now();
+    }
+}
+
 void record_follower::read()
 {
     if (stopped_) {
         return;
     }
+    backing_off_ = false;
     auto const turn = ++turn_;
     auto const handler = [self = shared_from_this(),
                           turn](page_result outcome) {
@@ -118,6 +126,7 @@
         return;
     }
     set_reachable(false, name_of(failure));
+    backing_off_ = true;
     schedule(backoff_);
     backoff_ = std::min(backoff_ * 2, settings_.longest_backoff);
 }
--- a/tests/libdispatch/admission_test.cpp
+++ b/tests/libdispatch/admission_test.cpp
@@ -112,8 +112,8 @@
     BOOST_TEST(admitted[0] >= admitted[1]);
     BOOST_TEST(admitted[1] >= admitted[2]);
     BOOST_TEST(admitted[2] >= asked[2] / 5); // The floor.
-    BOOST_TEST(admitted[0] + admitted[1] + admitted[2] <=
-               2.5 * servers * slots);
+    constexpr int places = servers * static_cast<int>(slots);
+    BOOST_TEST(admitted[0] + admitted[1] + admitted[2] <= 2 * places + 1);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
