--- a/src/libdispatch/src/dispatcher_choice.cpp
+++ b/src/libdispatch/src/dispatcher_choice.cpp
@@ -165,6 +165,9 @@
 /// Forgets what the mechanisms that are left out would tell of a candidate.
 void dispatcher::leave_out(candidate& judged) const
 {
+    if (settings_.without.empty()) {
+        return;
+    }
     if (!uses(mechanism::homes)) {
         judged.home_rank = most_homes;
     }
