--- a/src/libgateway/include/medlarstall/gateway/early_callers.hpp
+++ b/src/libgateway/include/medlarstall/gateway/early_callers.hpp
@@ -34,7 +34,8 @@
 
     /// Lets a request wait.
     /// \param arrived the request
-    /// \return false if too many wait already; the request stays where it is
+    /// \return false if too many or too large ones wait already; the request
+    ///     stays where it is
     [[nodiscard]] bool add(early_caller& arrived);
 
     /// \param now current time
@@ -46,6 +47,7 @@
 
 private:
     std::vector<early_caller> waiting_;
+    std::size_t body_bytes_ = 0; ///< Of all that wait.
 };
 
 } // namespace medlarstall::gateway
