Mend lint findings of the new tests

Cause: lint of the changed tests: behaviour holds a text now and was copied, a vector without its capacity, a name that RapidCheck's showValue needs. Change: references, capacity, operator<< instead. Conclusion: behaviour of the product untouched.

--- a/tests/libgateway/gateway_test.cpp
+++ b/tests/libgateway/gateway_test.cpp
@@ -73,8 +73,10 @@
     gateway_world world{1};
     world.store.set_mood(store_mood::turning_away);
     world.add_gateway();
+    constexpr int callers = 20;
     std::vector<std::shared_ptr<caller_answer>> early;
-    for (int at = 0; at < 20; ++at) {
+    early.reserve(callers);
+    for (int at = 0; at < callers; ++at) {
         early.push_back(
             world.send(0, "POST", "/once/a", "id-" + std::to_string(at)));
     }
@@ -246,7 +248,7 @@
 
 /// Asks fresh worlds until one has sent a stream to its first server first,
 /// which fails. What is known of the servers is the same before each.
-caller_answer ask_failing_first(behaviour second)
+caller_answer ask_failing_first(behaviour const& second)
 {
     constexpr int most = 16;
     for (int at = 0; at < most; ++at) {
--- a/tests/libgateway/record_follower_fuzz_test.cpp
+++ b/tests/libgateway/record_follower_fuzz_test.cpp
@@ -330,10 +330,10 @@
 
 namespace {
 
-void showValue(step const& value, std::ostream& out)
+std::ostream& operator<<(std::ostream& out, step const& value)
 {
-    out << static_cast<int>(value.what) << ':' << value.first << ':'
-        << value.second;
+    return out << static_cast<int>(value.what) << ':' << value.first << ':'
+               << value.second;
 }
 
 } // namespace
--- a/tests/platform_standins/include/medlarstall/platform_standins/server_standin.hpp
+++ b/tests/platform_standins/include/medlarstall/platform_standins/server_standin.hpp
@@ -57,7 +57,7 @@
 
     /// Sets what it does with the next request without a script.
     /// \param next what to do
-    void script(behaviour next) { script_.push_back(next); }
+    void script(behaviour const& next) { script_.push_back(next); }
 
     /// Says in all answers from now on that it leaves.
     void leave() { leaving_ = true; }
