Parse a fetched configuration once, and share what stood twice

A configuration fetched from a peer was parsed when the follower took it and again right after, also where it can be large; leaving_since, called for each news, looked up every backend server's entry before the cheap test; a query's number was read by the same loop in the gateway and in the store's stand-in; two set-ups of tests stood twice or three times. Change: only what the follower did not take is read again; the test first; http::query_number; check_left_alone and fleet_world in the tests, all assertions kept.

--- a/src/libdispatch/src/dispatcher.cpp
+++ b/src/libdispatch/src/dispatcher.cpp
@@ -259,8 +259,10 @@
 {
     std::vector<leaving_note> notes;
     for (auto const& [id, record] : records_) {
-        auto const* const entry = find(id);
-        if (entry != nullptr && record.said_leaving > since) {
+        if (record.said_leaving <= since) {
+            continue;
+        }
+        if (auto const* const entry = find(id)) {
             notes.push_back({id, entry->started_unix_ms});
         }
     }
--- a/src/libgateway/src/gateway_peers.cpp
+++ b/src/libgateway/src/gateway_peers.cpp
@@ -307,7 +307,9 @@
     if (which == ledger::configuration) {
         // A store that was restored may lack the newest one for a while.
         for (auto const& item : value_of(page).records) {
-            on_configuration(item);
+            if (item.value != follower_of(which).value_of(item.key)) {
+                on_configuration(item);
+            }
         }
     }
 }
--- a/src/libgateway/src/gateway_requests.cpp
+++ b/src/libgateway/src/gateway_requests.cpp
@@ -7,7 +7,6 @@
 #include <asio/post.hpp>
 
 #include <algorithm>
-#include <charconv>
 #include <functional>
 #include <utility>
 
@@ -28,15 +27,6 @@
 /// Callers come back once only, so not before the store may be back.
 constexpr milliseconds outage_return{3000};
 
-/// \return a number in the query of a target; 0 if there is none
-std::uint64_t number_in(std::string_view target, std::string_view name)
-{
-    auto const text = http::query_value(target, name);
-    std::uint64_t value = 0;
-    std::from_chars(text.data(), text.data() + text.size(), value);
-    return value;
-}
-
 http::response cbor_answer(std::string body)
 {
     http::response answer{{200, {}, {}}, std::move(body)};
@@ -251,8 +241,8 @@
 {
     auto const path = http::path_of(target);
     auto const name = path.substr(path.rfind('/') + 1);
-    store_position const after{number_in(target, "era"),
-                               number_in(target, "after")};
+    store_position const after{http::query_number(target, "era"),
+                               http::query_number(target, "after")};
     for (auto const which :
          {ledger::configuration, ledger::backend_servers, ledger::members}) {
         if (name != name_of(which)) {
--- a/src/libhttp/include/medlarstall/http/message.hpp
+++ b/src/libhttp/include/medlarstall/http/message.hpp
@@ -3,6 +3,7 @@
 
 #include <medlarstall/http/header_list.hpp>
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -51,6 +52,13 @@
 [[nodiscard]] std::string_view query_value(std::string_view target,
                                            std::string_view name);
 
+/// Looks up a number in a query.
+/// \param target path and query of a request
+/// \param name name of the parameter
+/// \return its value, 0 if there is none
+[[nodiscard]] std::uint64_t query_number(std::string_view target,
+                                         std::string_view name);
+
 /// \param status status code
 /// \return the usual reason phrase
 [[nodiscard]] std::string_view reason_of(int status);
--- a/src/libhttp/src/message.cpp
+++ b/src/libhttp/src/message.cpp
@@ -30,6 +30,14 @@
     return {};
 }
 
+std::uint64_t query_number(std::string_view target, std::string_view name)
+{
+    auto const text = query_value(target, name);
+    std::uint64_t value = 0;
+    std::from_chars(text.data(), text.data() + text.size(), value);
+    return value;
+}
+
 std::string_view reason_of(int status)
 {
     return http_status_str(static_cast<http_status>(status));
--- a/tests/libgateway/leaving_and_paused_servers_test.cpp
+++ b/tests/libgateway/leaving_and_paused_servers_test.cpp
@@ -37,6 +37,16 @@
     }
 }
 
+/// Sends requests and checks that none reaches a backend server.
+void check_left_alone(gateway_world& world, std::size_t gateway,
+                      std::size_t server)
+{
+    constexpr int requests = 30;
+    auto const before = world.servers.at(server)->arrivals();
+    check_served(world, gateway, requests);
+    BOOST_TEST(world.servers.at(server)->arrivals() == before);
+}
+
 double retry_after(caller_answer const& answer)
 {
     auto const* const text = answer.headers.find("Retry-After");
@@ -52,9 +62,7 @@
     ready_world world{2};
     world.servers[0]->leave();
     BOOST_REQUIRE(reaches(world, 0, 0));
-    auto const before = world.servers[0]->arrivals();
-    check_served(world, 0, 30);
-    BOOST_TEST(world.servers[0]->arrivals() == before);
+    check_left_alone(world, 0, 0);
 }
 
 BOOST_AUTO_TEST_CASE(the_other_daemons_are_told)
@@ -68,9 +76,7 @@
     world.servers[0]->leave();
     BOOST_REQUIRE(reaches(world, 0, 0));
     world.pass(700ms);
-    auto const before = world.servers[0]->arrivals();
-    check_served(world, 1, 30);
-    BOOST_TEST(world.servers[0]->arrivals() == before);
+    check_left_alone(world, 1, 0);
 }
 
 BOOST_AUTO_TEST_CASE(a_refusal_says_that_it_leaves_too)
@@ -82,9 +88,7 @@
     while (world.servers[0]->arrivals() == first) {
         check_served(world, 0, 1);
     }
-    auto const before = world.servers[0]->arrivals();
-    check_served(world, 0, 30);
-    BOOST_TEST(world.servers[0]->arrivals() == before);
+    check_left_alone(world, 0, 0);
 }
 
 BOOST_AUTO_TEST_CASE(an_interim_answer_says_that_it_leaves_too)
--- a/tests/libgateway/restored_store_test.cpp
+++ b/tests/libgateway/restored_store_test.cpp
@@ -49,6 +49,20 @@
         all, [&id](auto const& item) { return item.at("id") == id; });
 }
 
+/// Five gateways that are ready, and a copy of the store from before them.
+struct fleet_world : gateway_world
+{
+    fleet_world() : gateway_world{1}
+    {
+        configure(1);
+        store.take_copy();
+        add_fleet(5);
+        for (std::size_t at = 0; at < 5; ++at) {
+            BOOST_REQUIRE(wait_ready(at));
+        }
+    }
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(restored_store_suite)
@@ -133,12 +147,8 @@
 
 BOOST_AUTO_TEST_CASE(members_that_the_copy_lacks_are_written_again)
 {
-    gateway_world world{1};
-    world.configure(1);
-    world.store.take_copy();
-    world.add_fleet(5);
+    fleet_world world;
     for (std::size_t at = 0; at < 5; ++at) {
-        BOOST_REQUIRE(world.wait_ready(at));
         BOOST_REQUIRE(world.run_until([&] {
             return world.store.newest(members_topic, member_key(world, at))
                 .has_value();
@@ -157,13 +167,7 @@
 
 BOOST_AUTO_TEST_CASE(a_fleet_survives_two_returns_in_a_row)
 {
-    gateway_world world{1};
-    world.configure(1);
-    world.store.take_copy();
-    world.add_fleet(5);
-    for (std::size_t at = 0; at < 5; ++at) {
-        BOOST_REQUIRE(world.wait_ready(at));
-    }
+    fleet_world world;
     for (std::uint64_t at = 0; at < many_writes; ++at) {
         world.configure(2 + at);
     }
--- a/tests/libhttp/header_list_test.cpp
+++ b/tests/libhttp/header_list_test.cpp
@@ -43,6 +43,8 @@
                "12\r\nhello world, hello\r\n");
     BOOST_TEST(query_value("/p?a=1&bc=2", "bc") == "2");
     BOOST_TEST(query_value("/p", "bc").empty());
+    BOOST_TEST(query_number("/p?a=1&bc=2", "bc") == 2U);
+    BOOST_TEST(query_number("/p?bc=x", "bc") == 0U);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/platform_standins/src/store_standin.cpp
+++ b/tests/platform_standins/src/store_standin.cpp
@@ -6,7 +6,6 @@
 #include <boost/archive/iterators/transform_width.hpp>
 #include <nlohmann/json.hpp>
 
-#include <charconv>
 #include <chrono>
 #include <utility>
 
@@ -37,14 +36,6 @@
     return bytes;
 }
 
-std::uint64_t number_in(std::string_view target, std::string_view name)
-{
-    std::uint64_t value = 0;
-    auto const text = http::query_value(target, name);
-    std::from_chars(text.data(), text.data() + text.size(), value);
-    return value;
-}
-
 http::response json_answer(int status, json const& value)
 {
     http::response answer{{status, {}, {}}, value.dump()};
@@ -133,7 +124,8 @@
     if (path == "/api/log-newest") {
         answer_newest(*caller, topics_[topic]);
     } else if (path == "/api/log-read") {
-        auto const waits = number_in(target, "waitMs") / read_poll.count();
+        auto const waits =
+            http::query_number(target, "waitMs") / read_poll.count();
         answer_read(std::move(caller), topic, static_cast<int>(waits));
     } else if (path == "/api/log-append") {
         answer_append(*caller, topic);
@@ -160,7 +152,7 @@
                                 std::string const& topic, int waits_left)
 {
     auto const& log = topics_[topic];
-    auto const from = number_in(caller->head().target, "from");
+    auto const from = http::query_number(caller->head().target, "from");
     if (from < log.first || from > log.records.size()) {
         respond(*caller, json_answer(410, {{"firstOffset", log.first}}));
         return;
