Log the rate limit that a backend server states, and its age at each send

Decodes the field once in platform/ (malformed values are kept apart), keeps what was last stated with its time, and writes event=rate_limit for each change, event=rate_limit_rejected for a value that is no number, and the limit with its age on each event=send. No decision depends on it yet.

--- a/src/libdispatch/include/medlarstall/dispatch/dispatcher.hpp
+++ b/src/libdispatch/include/medlarstall/dispatch/dispatcher.hpp
@@ -11,6 +11,7 @@
 #include <medlarstall/dispatch/requested_pause.hpp>
 #include <medlarstall/dispatch/retry_budget.hpp>
 #include <medlarstall/dispatch/server_health.hpp>
+#include <medlarstall/dispatch/server_rate_limit.hpp>
 #include <medlarstall/routes/route_table.hpp>
 #include <medlarstall/support/time.hpp>
 
@@ -246,6 +247,27 @@
     void on_pause_requested(std::string_view id, duration wanted,
                             time_point now);
 
+    /// Called when an answer of a backend server states a rate limit.
+    /// \param id id of the backend server
+    /// \param requests_per_second the limit; zero or more
+    /// \param now current time
+    /// \return how the known limit has changed
+    rate_limit_change on_rate_limit(std::string_view id,
+                                    double requests_per_second, time_point now);
+
+    /// Called when an answer of a backend server states no rate limit.
+    /// \param id id of the backend server
+    /// \param sent_at when the request of the answer was sent
+    /// \param now current time
+    /// \return how the known limit has changed
+    rate_limit_change on_no_rate_limit(std::string_view id, time_point sent_at,
+                                       time_point now);
+
+    /// \param id id of a backend server
+    /// \return its rate limit, or nullptr if the backend server is unknown
+    [[nodiscard]] server_rate_limit const*
+    rate_limit_of(std::string_view id) const;
+
     /// \param service name of a service
     /// \param now current time
     /// \return time until the earliest end of a requested pause among the
@@ -372,6 +394,7 @@
         double latency_ms = 10.0;
         time_point long_prefill_share_updated_at;
         requested_pause pause; ///< Stop of sending that it has asked for.
+        server_rate_limit rate_limit; ///< Limit of all daemons together.
         bool leaving = false;
         /// When it announced to this daemon that it leaves; empty if only
         /// another daemon was told.
--- a/src/libgateway/include/medlarstall/gateway/forwarded_request.hpp
+++ b/src/libgateway/include/medlarstall/gateway/forwarded_request.hpp
@@ -45,7 +45,11 @@
     /// Called with the id of a backend server that could not be reached.
     std::function<void(std::string const&)> on_server_unreachable;
     /// Called with the id of a backend server and the metadata of its answer.
-    std::function<void(std::string const&, answer_metadata const&)>
+    /// The last argument is the time at which the request was sent if the
+    /// answer is one in which the backend server states its rate limit, should
+    /// it have one; empty for other answers.
+    std::function<void(std::string const&, answer_metadata const&,
+                       std::optional<time_point>)>
         on_server_metadata;
 };
 
--- a/src/libgateway/include/medlarstall/gateway/gateway.hpp
+++ b/src/libgateway/include/medlarstall/gateway/gateway.hpp
@@ -188,7 +188,15 @@
     void on_server_unreachable(std::string const& id);
     void on_server_down(std::string const& id, time_point now);
     void on_server_metadata(std::string const& id,
-                            answer_metadata const& metadata);
+                            answer_metadata const& metadata,
+                            std::optional<time_point> sent_at);
+    void on_stated_rate_limit(std::string const& id,
+                              answer_metadata const& metadata,
+                              std::optional<time_point> sent_at,
+                              time_point now);
+    void log_rate_limit(std::string const& id,
+                        dispatch::rate_limit_change change,
+                        std::string const& told_by, time_point now);
     void log_server_leaving(std::string const& id, std::string const& told_by);
     void log_health_change(std::string const& id, dispatch::health before,
                            dispatch::health after, char const* reason);
--- a/src/libgateway/include/medlarstall/gateway/wire_protocol.hpp
+++ b/src/libgateway/include/medlarstall/gateway/wire_protocol.hpp
@@ -52,6 +52,11 @@
     /// It rejected the request and asks this daemon to stop sending for this
     /// long.
     std::optional<std::chrono::milliseconds> requested_pause;
+    /// Requests per second that it accepts from all daemons together; zero or
+    /// more.
+    std::optional<double> rate_limit;
+    /// The limit as stated, if it is not a number that can be one.
+    std::optional<std::string> malformed_rate_limit;
 };
 
 /// An answer that the gateway gives itself instead of a backend server.
--- a/src/libgateway/src/forwarded_request.cpp
+++ b/src/libgateway/src/forwarded_request.cpp
@@ -261,8 +261,8 @@
             has_new_parts);
     }
     auto const list_position = context_.server_list_position();
-    log_entry{context_.log, log_category::success, "send"}
-        .with("id", request_.metadata.attempt_id)
+    log_entry line{context_.log, log_category::success, "send"};
+    line.with("id", request_.metadata.attempt_id)
         .with("server", placement.backend_server)
         .with("attempt", send_count_)
         .with("urgency", urgency())
@@ -281,6 +281,13 @@
         .with("entry_age", placement.entry_age)
         .with("waited", now - began_at_)
         .with("left", time_left(now));
+    auto const* const limit =
+        context_.dispatcher.rate_limit_of(placement.backend_server);
+    if (limit != nullptr && limit->requests_per_second()) {
+        line.with("limit_per_second",
+                  std::to_string(*limit->requests_per_second()))
+            .with("limit_age", now - limit->observed_at().value_or(now));
+    }
     auto const bodiless = caller_->head().method == "HEAD";
     auto const connection = current_send_->connection;
     connection->start_call(serialise_request(placement), bodiless,
--- a/src/libgateway/src/forwarded_request_relay.cpp
+++ b/src/libgateway/src/forwarded_request_relay.cpp
@@ -37,7 +37,8 @@
 void forwarded_request::on_interim_head(http::response_head const& head)
 {
     context_.on_server_metadata(current_send_->placement.backend_server,
-                                context_.protocol.parse_answer(head));
+                                context_.protocol.parse_answer(head),
+                                std::nullopt);
 }
 
 void forwarded_request::on_head(http::response_head& head)
@@ -46,16 +47,20 @@
     auto const metadata = context_.protocol.parse_answer(head);
     auto const& server = current_send_->placement.backend_server;
     current_send_->last_progress_at = now;
-    context_.on_server_metadata(server, metadata);
+    auto const rejected =
+        metadata.rejected || head.status == misdirected_request;
+    context_.on_server_metadata(
+        server, metadata,
+        rejected ? std::nullopt
+                 : std::optional{current_send_->reservation.sent_at});
     if (metadata.load) {
         context_.dispatcher.on_load_report(server, *metadata.load, now);
     }
     if (auto* const health = context_.dispatcher.health_tracker_of(server)) {
         health->on_data_received();
     }
-    current_send_->rejected =
-        metadata.rejected || head.status == misdirected_request;
-    if (current_send_->rejected) {
+    current_send_->rejected = rejected;
+    if (rejected) {
         current_send_->mode = relay_mode::discarded;
         return;
     }
--- a/src/libgateway/src/gateway.cpp
+++ b/src/libgateway/src/gateway.cpp
@@ -99,8 +99,9 @@
                 }
             },
             [this](std::string const& id) { on_server_unreachable(id); },
-            [this](std::string const& id, answer_metadata const& metadata) {
-                on_server_metadata(id, metadata);
+            [this](std::string const& id, answer_metadata const& metadata,
+                   std::optional<time_point> sent_at) {
+                on_server_metadata(id, metadata, sent_at);
             }};
 }
 
@@ -359,9 +360,10 @@
 }
 
 /// Applies what a backend server reports about itself in an answer: that it is
-/// leaving, or that it asks for a pause.
+/// leaving, that it asks for a pause, or that it limits its rate.
 void gateway::on_server_metadata(std::string const& id,
-                                 answer_metadata const& metadata)
+                                 answer_metadata const& metadata,
+                                 std::optional<time_point> sent_at)
 {
     auto const now = monotonic_clock::now();
     if (metadata.leaving && dispatcher_.on_leaving(id, now)) {
@@ -374,6 +376,7 @@
             .with("server", id)
             .with("wanted", *metadata.requested_pause);
     }
+    on_stated_rate_limit(id, metadata, sent_at, now);
 }
 
 void gateway::log_server_leaving(std::string const& id,
--- a/src/libgateway/src/gateway_parts.cpp
+++ b/src/libgateway/src/gateway_parts.cpp
@@ -134,7 +134,8 @@
         *address, {"GET", adapter_.backend_cached_parts_path, {}},
         request_timeout, [this, id = entry.id](http::response const& response) {
             on_server_metadata(id,
-                               adapter_.protocol.parse_answer(response.head));
+                               adapter_.protocol.parse_answer(response.head),
+                               std::nullopt);
             auto const parts = adapter_.parse_cached_parts(response.body);
             if (response.head.status != http_ok || failed(parts)) {
                 return;
--- a/src/libgateway/src/gateway_upkeep.cpp
+++ b/src/libgateway/src/gateway_upkeep.cpp
@@ -155,7 +155,7 @@
 {
     auto const facts = adapter_.protocol.parse_answer(answer.head);
     if (facts.backend_server.value_or(id) == id) {
-        on_server_metadata(id, facts);
+        on_server_metadata(id, facts, std::nullopt);
     }
     if (answer.head.status == no_response) {
         on_probe_result(id, false, "silent");
