--- a/tests/platform_standins/include/medlarstall/platform_standins/server_standin.hpp
+++ b/tests/platform_standins/include/medlarstall/platform_standins/server_standin.hpp
@@ -5,11 +5,13 @@
 
 #include <asio/io_context.hpp>
 
+#include <chrono>
 #include <cstdint>
 #include <deque>
 #include <functional>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace medlarstall::platform_standins {
@@ -62,8 +64,22 @@
     /// Says in all answers from now on that it leaves.
     void leave() { leaving_ = true; }
 
+    /// States a rate limit in all answers from now on.
+    /// \param requests_per_second the limit as text; empty to state none
+    void limit_rate(std::string requests_per_second)
+    {
+        rate_limit_ = std::move(requests_per_second);
+    }
+
+    /// \return when each request of any kind has reached it
+    [[nodiscard]] std::vector<std::chrono::steady_clock::time_point> const&
+    arrival_times() const
+    {
+        return arrival_times_;
+    }
+
     /// \return requests of any kind that have reached it
-    [[nodiscard]] std::size_t arrivals() const { return arrivals_; }
+    [[nodiscard]] std::size_t arrivals() const { return arrival_times_.size(); }
 
     /// \return its entry in the list
     /// \param service name of its service
@@ -93,8 +109,9 @@
     std::vector<run_record> runs_;
     std::vector<std::unique_ptr<http::exchange>> held_;
     std::size_t abandoned_ = 0;
-    std::size_t arrivals_ = 0;
+    std::vector<std::chrono::steady_clock::time_point> arrival_times_;
     bool leaving_ = false;
+    std::string rate_limit_;
 };
 
 } // namespace medlarstall::platform_standins
--- a/tests/platform_standins/src/server_standin.cpp
+++ b/tests/platform_standins/src/server_standin.cpp
@@ -41,12 +41,15 @@
     if (leaving_) {
         head.headers.add("Server-Leaving", "1");
     }
+    if (!rate_limit_.empty()) {
+        head.headers.add("Server-Limit", rate_limit_);
+    }
     return head;
 }
 
 void server_standin::on_request(std::unique_ptr<http::exchange> caller)
 {
-    ++arrivals_;
+    arrival_times_.push_back(std::chrono::steady_clock::now());
     auto const& headers = caller->head().headers;
     if (caller->head().target == "/healthz") {
         caller->respond({head_for(*caller, 200), ""});
