--- a/tests/libgateway/rate_limited_servers_test.cpp
+++ b/tests/libgateway/rate_limited_servers_test.cpp
@@ -6,6 +6,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
+#include <string>
 
 using namespace medlarstall;
 using namespace std::chrono_literals;
@@ -90,4 +91,92 @@
                allowed_in_window(1));
 }
 
+BOOST_AUTO_TEST_CASE(a_daemon_told_by_a_peer_exceeds_the_limit)
+{
+    small_fleet world;
+    world.servers[0]->limit_rate("1");
+    while (world.servers[0]->arrivals() == 0) {
+        std::ignore = world.send_and_wait(0, "POST", "/once/a", "first");
+    }
+    world.run_for(500ms);
+    auto const told = steady_clock::now();
+    auto const failures = send_for(world, 2500ms);
+    BOOST_TEST(failures == 0);
+    BOOST_TEST(max_arrivals_in_window(*world.servers[0], told) <=
+               allowed_in_window(1));
+}
+
+BOOST_AUTO_TEST_CASE(a_server_is_not_used_after_its_limit_has_ended)
+{
+    small_fleet world;
+    for (auto const& server : world.servers) {
+        server->limit_rate("2");
+    }
+    BOOST_TEST(send_for(world, 2000ms) > 0);
+    for (auto const& server : world.servers) {
+        server->limit_rate("");
+    }
+    std::ignore = send_for(world, 3000ms); // Until an answer shows the end.
+    BOOST_TEST(send_for(world, 1000ms) == 0);
+}
+
+BOOST_AUTO_TEST_CASE(requests_above_the_limits_of_all_servers_are_held)
+{
+    small_fleet world;
+    for (auto const& server : world.servers) {
+        server->limit_rate("1");
+    }
+    std::ignore = send_for(world, 1500ms);
+    for (std::size_t at = 0; at < 60; ++at) {
+        auto const sent = steady_clock::now();
+        auto const answer = world.send_and_wait(
+            at % 3, "POST", "/once/a", "limited-" + std::to_string(at));
+        // The objective is 400 ms, of which an eighth may pass first.
+        BOOST_TEST(bool(steady_clock::now() - sent < 200ms));
+        BOOST_TEST((answer.status == 200 || answer.status == 503));
+        if (answer.status == 503) {
+            auto const* const retry_after = answer.headers.find("Retry-After");
+            BOOST_REQUIRE(retry_after != nullptr);
+            BOOST_TEST(std::stod(*retry_after) > 0.05);
+            BOOST_TEST(std::stod(*retry_after) <= 10);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(malformed_limits_keep_a_server_from_its_requests)
+{
+    for (std::string const& bad :
+         std::vector<std::string>{"-1", "inf", "nan", "none", "1e999"}) {
+        ready_gateway_fixture world{1};
+        world.servers[0]->limit_rate(bad);
+        for (int at = 0; at < 10; ++at) {
+            BOOST_TEST(world.send_and_wait(0, "POST", "/once/a", "id").status ==
+                       200);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(limit_sharers_suite)
+
+// The daemons on each side of a cut used the whole limit.
+BOOST_AUTO_TEST_CASE(both_sides_of_a_cut_use_the_whole_limit)
+{
+    gateway::member_table members;
+    auto const begin = steady_clock::time_point{} + 1h;
+    for (auto const* const address : {"a:1", "b:1", "c:1", "d:1"}) {
+        members.add(address, begin);
+    }
+    gateway::peer_update update;
+    update.sequence = 1;
+    auto const later = begin + 40s;
+    members.merge("a:1", update, later);
+    BOOST_TEST(members.limit_sharers(begin).size() == 4U);
+    // Of five daemons, two are not most.
+    BOOST_TEST(members.limit_sharers(later).size() == 4U);
+    members.merge("b:1", update, later);
+    BOOST_TEST(members.limit_sharers(later).size() == 2U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/platform/readers_test.cpp
+++ b/tests/platform/readers_test.cpp
@@ -226,6 +226,22 @@
     BOOST_TEST(level(19, 20) == "9");
 }
 
+BOOST_AUTO_TEST_CASE(malformed_rate_limits_are_taken_as_limits)
+{
+    auto const read = [](std::string const& text) {
+        http::response_head head{200, {}, {}};
+        head.headers.add("Server-Limit", text);
+        return make_wire_protocol().parse_answer(head);
+    };
+    BOOST_TEST(read("12.5").rate_limit.value_or(-1) == 12.5);
+    BOOST_TEST(read("0").rate_limit.value_or(-1) == 0);
+    for (auto const* const bad :
+         {"-1", "inf", "nan", "1e999", "none", "", "1,2", "5 a second"}) {
+        BOOST_TEST(!read(bad).rate_limit);
+        BOOST_TEST(read(bad).malformed_rate_limit.value_or("x") == bad);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(own_responses_have_retry_after)
 {
     auto const response = make_wire_protocol().write_gateway_answer(
