Do not send to a server that is down while limited ones have no permit

What callers saw: with all sound backend servers of a service at their rate limits, a request went to one that was known to be down, failed there, and its caller was refused without a useful Retry-After.

Cause: the choice goes on to servers that are down when nothing else is eligible, and a server without a permit is not eligible. Evidence: the new test fails with the check left out. Ruled out: the health of the limited server, which is up.

Change: servers that are down are not tried while one that is sound only lacks a permit; servers that are down no longer make the Retry-After zero. The limit's own code keeps the age of an observation, so that only those that others may believe are announced. The refusal moved to the file of a request's end, which had the status already.

The test fails before and passes after; libdispatch and libgateway pass.

--- a/src/libdispatch/include/medlarstall/dispatch/dispatcher.hpp
+++ b/src/libdispatch/include/medlarstall/dispatch/dispatcher.hpp
@@ -342,9 +342,9 @@
     /// \param urgency_share as in placement_request
     /// \param now current time
     /// \return time until the first of the backend servers of the service that
-    ///     are neither draining nor leaving accepts a request, as far as
-    ///     requested pauses and rate limits tell; zero if one of them accepts
-    ///     requests now, or if there are none
+    ///     are neither draining nor leaving nor down accepts a request, as far
+    ///     as requested pauses and rate limits tell; zero if one of them
+    ///     accepts requests now, or if there are none
     [[nodiscard]] duration time_until_usable(std::string_view service,
                                              double urgency_share,
                                              time_point now) const;
@@ -542,6 +542,8 @@
                      time_point now);
     static bool may_send(server_record const& record, double urgency_share,
                          time_point now);
+    static bool has_withheld(known_servers const& servers,
+                             placement_request const& request, time_point now);
     duration time_until_usable(server_record const& record,
                                double urgency_share, time_point now) const;
     std::optional<placement> choose_from(known_servers const& servers,
--- a/src/libdispatch/include/medlarstall/dispatch/server_rate_limit.hpp
+++ b/src/libdispatch/include/medlarstall/dispatch/server_rate_limit.hpp
@@ -79,12 +79,12 @@
         return observed_at_;
     }
 
-    /// \return when this daemon itself last observed a change; empty if it
-    ///     never did
-    [[nodiscard]] std::optional<time_point> own_change_at() const
-    {
-        return own_change_at_;
-    }
+    /// \param since start of a time span, exclusive
+    /// \param now current time
+    /// \return time since the latest observation, if this daemon itself has
+    ///     observed a change in the time span and others may still believe it
+    [[nodiscard]] std::optional<duration> age_if_changed(time_point since,
+                                                         time_point now) const;
 
 private:
     rate_limit_change set(std::optional<double> requests_per_second,
--- a/src/libdispatch/src/dispatcher_choice.cpp
+++ b/src/libdispatch/src/dispatcher_choice.cpp
@@ -313,6 +313,9 @@
     }
     for (auto const worst_health :
          {health::up, health::suspect, health::down}) {
+        if (worst_health == health::down && has_withheld(all, request, now)) {
+            break; // Waiting for a permit is better than a server that is down.
+        }
         for (auto const* const servers : {&in_cell, &all}) {
             if (auto chosen =
                     choose_from(*servers, request, worst_health, now)) {
--- a/src/libdispatch/src/dispatcher_limits.cpp
+++ b/src/libdispatch/src/dispatcher_limits.cpp
@@ -75,13 +75,12 @@
     std::vector<rate_limit_notice> notices;
     for (auto const& [id, record] : records_) {
         auto const& limit = record.rate_limit;
-        if (!limit.own_change_at() || *limit.own_change_at() <= since) {
-            continue;
-        }
-        if (auto const* const entry = find_entry(id)) {
+        auto const age = limit.age_if_changed(since, now);
+        auto const* const entry = find_entry(id);
+        if (age && entry != nullptr) {
             notices.push_back({id, entry->started_unix_ms,
                                limit.requests_per_second(),
-                               to_milliseconds(now - *limit.observed_at())});
+                               to_milliseconds(*age)});
         }
     }
     return notices;
@@ -168,6 +167,17 @@
            record.permits.available(urgency_share, now);
 }
 
+/// \return true if a backend server could take the request if it had not had as
+///     many as its rate limit allows
+bool dispatcher::has_withheld(known_servers const& servers,
+                              placement_request const& request, time_point now)
+{
+    return std::ranges::any_of(servers, [&](known_server const& server) {
+        return is_usable(server, request, health::suspect, now) &&
+               !may_send(*server.record, request.urgency_share, now);
+    });
+}
+
 bool dispatcher::try_take_permit(std::string_view id, time_point now)
 {
     auto const found = records_.find(id);
@@ -205,7 +215,8 @@
     for (auto const& [id, listing] : server_list_.all()) {
         auto const* const record = find_record(id);
         if (listing.entry.service == service && !listing.entry.draining &&
-            record != nullptr && !record->leaving) {
+            record != nullptr && !record->leaving &&
+            record->health_tracker.state() != health::down) {
             auto const remaining =
                 time_until_usable(*record, urgency_share, now);
             shortest = std::min(remaining, shortest.value_or(remaining));
--- a/src/libdispatch/src/server_rate_limit.cpp
+++ b/src/libdispatch/src/server_rate_limit.cpp
@@ -89,6 +89,16 @@
     return set(std::nullopt, now);
 }
 
+std::optional<duration> server_rate_limit::age_if_changed(time_point since,
+                                                          time_point now) const
+{
+    if (!own_change_at_ || *own_change_at_ <= since) {
+        return std::nullopt;
+    }
+    auto const age = now - *observed_at_;
+    return age <= max_notice_age ? std::optional{age} : std::nullopt;
+}
+
 rate_limit_change server_rate_limit::merge(rate_limit_notice const& notice,
                                            time_point now)
 {
--- a/src/libgateway/include/medlarstall/gateway/forwarded_request.hpp
+++ b/src/libgateway/include/medlarstall/gateway/forwarded_request.hpp
@@ -139,6 +139,7 @@
                              time_point now);
     void send_to(dispatch::placement const& placement);
     std::uint32_t urgency() const;
+    double urgency_share() const;
     std::string serialise_request(dispatch::placement const& placement) const;
     http::call_events make_call_events(std::uint64_t number);
     bool belongs_to_request(http::response_head const& head) const;
--- a/src/libgateway/src/forwarded_request.cpp
+++ b/src/libgateway/src/forwarded_request.cpp
@@ -16,7 +16,6 @@
 using std::chrono::milliseconds;
 
 constexpr int bad_gateway = 502;
-constexpr int service_unavailable = 503;
 
 /// With less time left than this, no backend server is chosen any more.
 constexpr milliseconds min_useful_time{5};
@@ -113,9 +112,7 @@
             request_.route->pause_objective, service->model->tokens_per_event);
     }
     work.urgency_rank = urgency();
-    work.urgency_share =
-        static_cast<double>(work.urgency_rank) /
-        static_cast<double>(request_.route_table->urgencies().rank_count());
+    work.urgency_share = urgency_share();
     work.tie_break_hash = hash_;
     work.excluded_servers = tried_servers_;
     return work;
@@ -153,28 +150,6 @@
     }
 }
 
-/// Refuses a request because the backend servers of its service have had as
-/// many requests as their rate limits allow.
-void forwarded_request::refuse_rate_limited(
-    dispatch::limited_return const& booked, time_point now)
-{
-    log_entry{context_.log, log_category::failure, "refused"}
-        .with("id", request_.metadata.attempt_id)
-        .with("reason", "rate_limited")
-        .with("service", service_)
-        .with("urgency", urgency())
-        .with("limited_servers", booked.limited_servers)
-        .with("limit_per_second", std::to_string(booked.requests_per_second))
-        .with("limit_age", booked.age)
-        .with("sharers", booked.sharers)
-        .with("waited", now - began_at_)
-        .with("back", booked.delay);
-    context_.metrics.count_rate_limit_decision("refused");
-    answer_from_gateway(service_unavailable, "rate_limited",
-                        std::max(dispatch::rejected_retry_after,
-                                 to_milliseconds(booked.delay)));
-}
-
 /// Sends a request to the backend server chosen for it. The first send of a
 /// request to a model is subject to admission control: it is refused if the
 /// backend servers are overloaded.
@@ -247,6 +222,13 @@
         routes::urgency_of(*request_.route, request_.organisation));
 }
 
+/// \return the rank divided by the number of ranks
+double forwarded_request::urgency_share() const
+{
+    return static_cast<double>(urgency()) /
+           static_cast<double>(request_.route_table->urgencies().rank_count());
+}
+
 std::string
 forwarded_request::serialise_request(dispatch::placement const& placement) const
 {
--- a/src/libgateway/src/forwarded_request_end.cpp
+++ b/src/libgateway/src/forwarded_request_end.cpp
@@ -3,6 +3,8 @@
 
 #include <medlarstall/gateway/forwarded_request.hpp>
 
+#include <medlarstall/dispatch/waiting_policy.hpp>
+
 #include <algorithm>
 #include <utility>
 
@@ -38,8 +40,7 @@
 forwarded_request::retry_delay_after_pause(milliseconds minimum) const
 {
     auto const unusable = context_.dispatcher.time_until_usable(
-        service_, make_placement_request().urgency_share,
-        monotonic_clock::now());
+        service_, urgency_share(), monotonic_clock::now());
     return std::max(minimum, to_milliseconds(unusable));
 }
 
@@ -49,6 +50,28 @@
                         spread_retry_delay(retry_after));
 }
 
+/// Refuses a request because the backend servers of its service have had as
+/// many requests as their rate limits allow.
+void forwarded_request::refuse_rate_limited(
+    dispatch::limited_return const& booked, time_point now)
+{
+    log_entry{context_.log, log_category::failure, "refused"}
+        .with("id", request_.metadata.attempt_id)
+        .with("reason", "rate_limited")
+        .with("service", service_)
+        .with("urgency", urgency())
+        .with("limited_servers", booked.limited_servers)
+        .with("limit_per_second", std::to_string(booked.requests_per_second))
+        .with("limit_age", booked.age)
+        .with("sharers", booked.sharers)
+        .with("waited", now - began_at_)
+        .with("back", booked.delay);
+    context_.metrics.count_rate_limit_decision("refused");
+    answer_from_gateway(service_unavailable, "rate_limited",
+                        std::max(dispatch::rejected_retry_after,
+                                 to_milliseconds(booked.delay)));
+}
+
 void forwarded_request::answer_error(int status, char const* code)
 {
     answer_from_gateway(status, code, std::nullopt);
--- a/tests/libdispatch/rate_limit_test.cpp
+++ b/tests/libdispatch/rate_limit_test.cpp
@@ -1,5 +1,6 @@
 // Tests the parts that keep to the rate limits of backend servers.
 
+#include <medlarstall/dispatch/dispatcher.hpp>
 #include <medlarstall/dispatch/fleet_cells.hpp>
 #include <medlarstall/dispatch/rate_permits.hpp>
 #include <medlarstall/dispatch/return_schedule.hpp>
@@ -68,7 +69,8 @@
                     rate_limit_change::changed));
     BOOST_TEST(limit.requests_per_second().value_or(0) == 2);
     // What another daemon has observed is not announced once more.
-    BOOST_TEST(bool(limit.own_change_at() == start));
+    BOOST_TEST(!limit.age_if_changed(start, start + 1s));
+    BOOST_TEST(limit.age_if_changed(start - 1ms, start + 1s).has_value());
 }
 
 BOOST_AUTO_TEST_CASE(impossible_notices_are_believed)
@@ -223,6 +225,35 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(limited_placement_suite)
+
+BOOST_AUTO_TEST_CASE(a_server_that_is_down_is_used_in_place_of_a_limited_one)
+{
+    dispatcher decisions{{"dc", {}, {}}};
+    for (auto const* const id : {"limited", "down"}) {
+        backend_server_entry entry;
+        entry.id = id;
+        entry.service = "s";
+        entry.address = "10.0.0.1:80";
+        decisions.apply(entry, start);
+    }
+    decisions.set_time_of_day(start_of_day, start);
+    decisions.health_tracker_of("down")->on_unreachable(start);
+    decisions.on_rate_limit("limited", 1, start);
+    placement_request request;
+    request.service = "s";
+    BOOST_TEST(!decisions.choose(request, start).has_value());
+    auto const booked = decisions.book_return(request, start);
+    BOOST_REQUIRE(booked.has_value());
+    BOOST_TEST(bool(booked->delay > 0ms));
+    BOOST_TEST(bool(booked->delay <= 1s));
+    auto const later = start + 1001ms;
+    BOOST_REQUIRE(decisions.choose(request, later).has_value());
+    BOOST_TEST(decisions.choose(request, later)->backend_server == "limited");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(return_schedule_suite)
 
 BOOST_AUTO_TEST_CASE(refused_callers_return_together)
