Tell a daemon that has just started which servers limit their rate

What callers saw: nothing; a limited backend server got a burst from each daemon that had restarted, until its first answer had arrived there.

Cause: limits were announced to the peers for three seconds after they changed, so a daemon that started later knew of none. Evidence: a test in which a daemon joins 4 s after the limit was stated fails with this change left out.

The test fails before and passes after.

--- a/src/libgateway/include/medlarstall/gateway/member_table.hpp
+++ b/src/libgateway/include/medlarstall/gateway/member_table.hpp
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -59,6 +60,13 @@
     bool merge(std::string const& address, peer_update const& update,
                time_point now);
 
+    /// \return when a daemon that has just started was last heard for the first
+    ///     time; empty if none was
+    [[nodiscard]] std::optional<time_point> start_heard_at() const
+    {
+        return start_heard_at_;
+    }
+
     /// \return number that increases when a daemon is added or removed
     [[nodiscard]] std::uint64_t revision() const { return revision_; }
 
@@ -118,6 +126,7 @@
     member_timeouts timeouts_;
     std::map<std::string, member> members_;
     std::uint64_t revision_ = 0;
+    std::optional<time_point> start_heard_at_;
 };
 
 } // namespace medlarstall::gateway
--- a/src/libgateway/src/gateway_peers.cpp
+++ b/src/libgateway/src/gateway_peers.cpp
@@ -80,8 +80,12 @@
     update.members = members_follower_->position();
     auto const announced_since = update_sent_at_ - server_announcement_time;
     update.leaving = dispatcher_.leave_notices_since(announced_since);
+    // A daemon that has just started knows of no limit.
+    auto const started = members_.start_heard_at();
     update.rate_limits = dispatcher_.rate_limits_changed_since(
-        announced_since, monotonic_clock::now());
+        started && *started > announced_since ? time_point::min()
+                                              : announced_since,
+        monotonic_clock::now());
     update.loads = dispatcher_.own_loads(update_sent_at_);
     update.prompts = pending_prompts_;
     update.crashes = pending_crashes_;
--- a/src/libgateway/src/member_table.cpp
+++ b/src/libgateway/src/member_table.cpp
@@ -38,6 +38,9 @@
     if (order(update) <= order(known.update)) {
         return false;
     }
+    if (update.incarnation > known.update.incarnation) {
+        start_heard_at_ = now;
+    }
     known.update = update;
     known.last_heard = now;
     return true;
--- a/tests/libgateway/rate_limited_servers_test.cpp
+++ b/tests/libgateway/rate_limited_servers_test.cpp
@@ -106,6 +106,20 @@
                allowed_in_window(1));
 }
 
+BOOST_AUTO_TEST_CASE(a_daemon_that_has_just_started_knows_of_no_limit)
+{
+    small_fleet world;
+    world.servers[0]->limit_rate("1");
+    std::ignore = send_for(world, 4000ms); // Longer than it is announced.
+    world.add_gateway();
+    BOOST_TEST(world.run_until([&] {
+        auto const state = world.get(
+            world.gateways.back()->settings().peer_address, "/v1/status");
+        return state.body.find(R"("limit_per_second":1.0)") !=
+               std::string::npos;
+    }));
+}
+
 BOOST_AUTO_TEST_CASE(a_server_is_not_used_after_its_limit_has_ended)
 {
     small_fleet world;
