Check in the soak that no backend server gets more than its rate limit

Backend servers of the soak now limit their rate from time to time (SIGUSR1), and arrivals are counted against 1.5 x 4 s x limit + 5 for daemons that had passed on the limit, leaving out those that were killed or paused in the 3 s before, and servers that could not be reached as usual.

--- a/tests/platform_standins/main.cpp
+++ b/tests/platform_standins/main.cpp
@@ -4,9 +4,12 @@
 #include <medlarstall/platform_standins/store_standin.hpp>
 
 #include <asio/io_context.hpp>
+#include <asio/signal_set.hpp>
 #include <asio/steady_timer.hpp>
 
 #include <charconv>
+#include <chrono>
+#include <csignal>
 #include <cstdio>
 #include <cstdlib>
 #include <memory>
@@ -28,8 +31,12 @@
             static_cast<std::uint16_t>(std::strtoul(port, nullptr, 10))};
 }
 
+/// Requests per second of a backend server that limits its rate.
+constexpr char const* rate_limit = "3";
+
 /// A backend server whose behaviour is drawn at random. Prints the id of each
-/// attempt that it runs.
+/// attempt that arrives, with the time, and of each that it runs. SIGUSR1 makes
+/// it limit its rate, and the next one ends that.
 class random_server
 {
 public:
@@ -38,8 +45,11 @@
           listener_{
               context,
               {[this](auto caller) { on_request(std::move(caller)); }, {}},
-              512}
-    {}
+              512},
+          limit_signals_{context, SIGUSR1}
+    {
+        await_limit_signal();
+    }
 
     [[nodiscard]] status listen(asio::ip::tcp::endpoint const& address)
     {
@@ -49,6 +59,25 @@
 private:
     using caller_ptr = std::shared_ptr<http::exchange>;
 
+    void await_limit_signal()
+    {
+        limit_signals_.async_wait([this](std::error_code cancelled, int) {
+            if (!cancelled) {
+                limited_ = !limited_;
+                print_event(limited_ ? "limited" : "unlimited", id_);
+                await_limit_signal();
+            }
+        });
+    }
+
+    static void print_event(char const* event, std::string const& subject)
+    {
+        auto const now = std::chrono::steady_clock::now().time_since_epoch();
+        std::printf("%s %s %.6f\n", event, subject.c_str(),
+                    std::chrono::duration<double>{now}.count());
+        std::fflush(stdout);
+    }
+
     int draw(int most)
     {
         return std::uniform_int_distribution{0, most}(random_);
@@ -61,6 +90,9 @@
         head.headers.add("X-Attempt-Id", attempt != nullptr ? *attempt : "");
         head.headers.add("X-Response-Seal", "seal");
         head.headers.add("X-Instance-Id", id_);
+        if (limited_) {
+            head.headers.add("Server-Limit", rate_limit);
+        }
         return head;
     }
 
@@ -68,6 +100,8 @@
     {
         auto const& headers = caller->head().headers;
         auto const* const expected = headers.find("X-Expect-Instance");
+        auto const* const attempt = headers.find("X-Attempt-Id");
+        print_event("arrived", attempt != nullptr ? *attempt : "-");
         if (caller->head().target == "/healthz") {
             caller->respond({head_for(*caller, 200), ""});
         } else if (expected == nullptr || *expected != id_) {
@@ -150,6 +184,8 @@
     std::string id_;
     std::mt19937 random_;
     http::http_listener listener_;
+    asio::signal_set limit_signals_;
+    bool limited_ = false;
 };
 
 } // namespace
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -3,7 +3,8 @@
 Checks, from what callers and backend servers see: what may run once runs at
 most once; a refusal means that it has not run; an answer belongs to its
 request; a stream is contiguous and complete only at its end; a configuration
-never goes back; no process ends by itself.
+never goes back; a backend server gets no more than the rate limit that it
+states; no process ends by itself.
 """
 
 import argparse
@@ -22,6 +23,7 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).parent))
 from proxy import ONE_WAY, PASS, SILENT, Proxy  # noqa: E402
+from rate_limits import RateLimits  # noqa: E402
 
 STORE, STORE_PROXY, SERVER, SERVER_PROXY = 21000, 21001, 21100, 21200
 ENTRY, READY, DIRECTORY, PEER = 12000, 12001, 12002, 12003
@@ -84,6 +86,7 @@
         self.version = 0
         self.sequence = 0
         self.counts = collections.Counter()
+        self.limits = RateLimits()
         self.lock = threading.Lock()
         self.over = threading.Event()
         self.gateways, self.servers, self.proxies = [], [], []
@@ -127,7 +130,7 @@
         for at in range(self.options.servers):
             server = Process([standin, "server", f"i-{at}", str(self.server_port + at),
                               str(self.options.seed + at)], self.log)
-            server.start(self.on_server_line)
+            server.start(self.server_lines(at))
             self.servers.append(server)
         for at in range(self.options.gateways):
             gateway = Process(
@@ -137,11 +140,16 @@
             gateway.start()
             self.gateways.append(gateway)
 
-    def on_server_line(self, line):
-        words = line.split()
-        if len(words) == 2 and words[0] == "run":
+    def server_lines(self, at):
+        """Returns what handles the lines that a backend server prints."""
+        def on_line(line):
+            words = line.split()
             with self.lock:
-                self.runs[words[1]] += 1
+                if len(words) == 2 and words[0] == "run":
+                    self.runs[words[1]] += 1
+                elif len(words) == 3:
+                    self.limits.on_server_event(at, *words)
+        return on_line
 
     # The store, written as operators and backend servers do
 
@@ -195,6 +203,7 @@
             kind = rng.choice(list(ROUTES))
             with self.lock:
                 attempt = f"a{next(self.numbers)}"
+                self.limits.on_sent(attempt, target)
             if not self.ask(link, kind, attempt):
                 link = None
             time.sleep(rng.random() * 0.05)
@@ -209,6 +218,10 @@
                                         "X-Deadline-Ms": "4000"})
             answer = link.getresponse()
             status = answer.status
+            if answer.headers.get("Server-Limit"):
+                with self.lock:
+                    self.limits.on_told(attempt,
+                                        answer.headers.get("X-Instance-Id"))
             body = answer.read()
         except (OSError, http.client.HTTPException):
             self.note(kind, attempt, 0, b"", False)
@@ -242,6 +255,8 @@
         for process in self.gateways + self.servers + [self.store]:
             if process.ended_by_itself():
                 self.problem(f"{process.words[0]} ended by itself")
+        for text in self.limits.problems():
+            self.problem(text)
         if self.counts[200] < sum(self.counts.values()) / 4:
             self.problem(f"few answers: {dict(self.counts)}")
 
@@ -273,10 +288,20 @@
             fault = self.rng.choice([
                 self.kill_gateway, self.stop_gateway, self.pause, self.hup,
                 self.kill_server, self.drain_server, self.silence, self.reset,
-                self.slow, self.change, self.change])
+                self.slow, self.change, self.change, self.limit_server])
             asyncio.get_running_loop().create_task(fault())
         await asyncio.sleep(10)
 
+    def place_of(self, item):
+        """Returns which gateway, backend server or store a fault strikes."""
+        if item in self.gateways:
+            return ("gateway", self.gateways.index(item))
+        if item in self.servers:
+            return ("server", self.servers.index(item))
+        if item in self.proxies[1:]:
+            return ("server", self.proxies.index(item) - 1)
+        return ("store", 0)
+
     async def restart(self, process, on_line=None):
         while process.child.poll() is None:
             await asyncio.sleep(0.05)
@@ -286,8 +311,9 @@
     async def end(self, process, number, on_line=None):
         if process.told_to_end or process.child.poll() is not None:
             return
-        process.send(number)
-        await self.restart(process, on_line)
+        with self.limits.disturbed(self.place_of(process)):
+            process.send(number)
+            await self.restart(process, on_line)
 
     async def kill_gateway(self):
         await self.end(self.rng.choice(self.gateways), signal.SIGKILL)
@@ -296,17 +322,27 @@
         await self.end(self.rng.choice(self.gateways), signal.SIGTERM)
 
     async def kill_server(self):
-        await self.end(self.rng.choice(self.servers), signal.SIGKILL,
-                       self.on_server_line)
+        at = self.rng.randrange(len(self.servers))
+        self.limits.on_server_killed(at)
+        await self.end(self.servers[at], signal.SIGKILL, self.server_lines(at))
+
+    async def limit_server(self):
+        server = self.rng.choice(self.servers)
+        child = server.child
+        for _ in range(2):
+            if server.child is child and not server.told_to_end:
+                child.send_signal(signal.SIGUSR1)
+            await asyncio.sleep(self.rng.uniform(6.0, 14.0))
 
     async def hup(self):
         self.rng.choice(self.gateways).send(signal.SIGHUP)
 
     async def pause(self):
         process = self.rng.choice(self.gateways + self.servers + [self.store])
-        process.send(signal.SIGSTOP)
-        await asyncio.sleep(self.rng.uniform(0.1, 3.0))
-        process.send(signal.SIGCONT)
+        with self.limits.disturbed(self.place_of(process)):
+            process.send(signal.SIGSTOP)
+            await asyncio.sleep(self.rng.uniform(0.1, 3.0))
+            process.send(signal.SIGCONT)
 
     async def drain_server(self):
         at = self.rng.randrange(len(self.servers))
@@ -316,18 +352,22 @@
 
     async def silence(self):
         proxy = self.rng.choice(self.proxies)
-        proxy.mode = self.rng.choice([SILENT, ONE_WAY])
-        await asyncio.sleep(self.rng.uniform(0.5, 4.0))
-        proxy.mode = PASS
+        with self.limits.disturbed(self.place_of(proxy)):
+            proxy.mode = self.rng.choice([SILENT, ONE_WAY])
+            await asyncio.sleep(self.rng.uniform(0.5, 4.0))
+            proxy.mode = PASS
 
     async def reset(self):
-        self.rng.choice(self.proxies).reset(0.5, self.rng)
+        proxy = self.rng.choice(self.proxies)
+        with self.limits.disturbed(self.place_of(proxy)):
+            proxy.reset(0.5, self.rng)
 
     async def slow(self):
         proxy = self.rng.choice(self.proxies)
-        proxy.delay = self.rng.uniform(0.01, 0.3)
-        await asyncio.sleep(self.rng.uniform(0.5, 3.0))
-        proxy.delay = 0.0
+        with self.limits.disturbed(self.place_of(proxy)):
+            proxy.delay = self.rng.uniform(0.01, 0.3)
+            await asyncio.sleep(self.rng.uniform(0.5, 3.0))
+            proxy.delay = 0.0
 
     async def change(self):
         await asyncio.to_thread(self.configure)
