Do not take what another server at the address says for the listed one

What callers saw: a sound backend server could get no requests, or too few, after its address had answered for another one.

Cause: a 421 says that the server at the address is not the one that the request was meant for, but its leaving notice and its rate limit were stored for the one that was meant. Found while reading where limits are taken from; probes already compared the ids. Evidence: the new test shows both with the old code (limit_per_second not null, leaving true).

Change: a 421 tells nothing of the listed server. Ruled out: a 421 of the server itself, which only happens for a version that the gateway never asks for.

The test fails before and passes after; the suites of leaving and paused servers pass.

--- a/src/libgateway/src/forwarded_request_relay.cpp
+++ b/src/libgateway/src/forwarded_request_relay.cpp
@@ -47,12 +47,14 @@
     auto const metadata = context_.protocol.parse_answer(head);
     auto const& server = current_send_->placement.backend_server;
     current_send_->last_progress_at = now;
-    auto const rejected =
-        metadata.rejected || head.status == misdirected_request;
-    context_.on_server_metadata(
-        server, metadata,
-        rejected ? std::nullopt
-                 : std::optional{current_send_->reservation.sent_at});
+    auto const misdirected = head.status == misdirected_request;
+    auto const rejected = metadata.rejected || misdirected;
+    if (!misdirected) { // Otherwise another backend server has answered.
+        context_.on_server_metadata(
+            server, metadata,
+            rejected ? std::nullopt
+                     : std::optional{current_send_->reservation.sent_at});
+    }
     if (metadata.load) {
         context_.dispatcher.on_load_report(server, *metadata.load, now);
     }
--- a/tests/libgateway/rate_limited_servers_test.cpp
+++ b/tests/libgateway/rate_limited_servers_test.cpp
@@ -157,6 +157,27 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(a_server_is_limited_as_another_at_its_address_states)
+{
+    gateway_fixture world{0};
+    world.write_configuration(1);
+    world.add_gateway();
+    platform_standins::raw_server const server{
+        world.context,
+        {"HTTP/1.1 421 Misdirected\r\nX-Attempt-Id: ID\r\nServer-Limit: 1\r\n"
+         "Server-Leaving: 1\r\nContent-Length: 0\r\n\r\n",
+         "",
+         {}}};
+    world.list_raw_server(server);
+    BOOST_TEST(world.send_and_wait(0, "POST", "/once/a", "id-1").status == 503);
+    BOOST_TEST(server.requests() == 1U);
+    auto const state =
+        world.get(world.gateways[0]->settings().peer_address, "/v1/status");
+    BOOST_TEST(state.body.find(R"("limit_per_second":null)") !=
+               std::string::npos);
+    BOOST_TEST(state.body.find(R"("leaving":false)") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(malformed_limits_keep_a_server_from_its_requests)
 {
     for (std::string const& bad :
