Look for silent sharers of rate limits once a second

Cause: each tick built the addresses of the whole fleet anew, ten times a second, for a set that changes with the member list or after 30 s of silence. Nobody saw anything; at 350 daemons it is 3,500 strings a second for nothing.

Change: the set is computed again when the member list has changed, and otherwise once a second. Not measured on its own. The suites of rate limits pass.

--- a/src/libgateway/include/medlarstall/gateway/gateway.hpp
+++ b/src/libgateway/include/medlarstall/gateway/gateway.hpp
@@ -255,6 +255,7 @@
     std::vector<std::string> limit_sharers_;
     /// Value of members_.revision() at that time.
     std::optional<std::uint64_t> limit_sharers_revision_;
+    time_point next_sharers_check_;
     std::uint64_t incarnation_ = 0;
     std::uint64_t update_sequence_ = 0;
     store_position announced_configuration_;
--- a/src/libgateway/src/gateway_limits.cpp
+++ b/src/libgateway/src/gateway_limits.cpp
@@ -6,6 +6,13 @@
 
 namespace medlarstall::gateway {
 
+namespace {
+
+/// Interval of checks which daemons have been silent for long.
+constexpr std::chrono::seconds sharers_check_interval{1};
+
+} // namespace
+
 /// Applies what an answer states about the rate limit of a backend server.
 /// \param sent_at when the request was sent, if a missing limit means that
 ///     there is none
@@ -26,7 +33,6 @@
     }
     if (change != dispatch::rate_limit_change::none) {
         rate_limit_changed_ = true;
-        update_limit_sharers(now);
     }
     log_rate_limit(id, change, settings_.name, now);
 }
@@ -36,6 +42,11 @@
 void gateway::update_limit_sharers(time_point now)
 {
     dispatcher_.set_time_of_day(std::chrono::system_clock::now(), now);
+    if (limit_sharers_revision_ == members_.revision() &&
+        now < next_sharers_check_) {
+        return;
+    }
+    next_sharers_check_ = now + sharers_check_interval;
     auto const own = format_endpoint(settings_.peer_address);
     auto sharers = members_.limit_sharers(now);
     sharers.push_back(own);
