--- a/src/libdispatch/include/medlarstall/dispatch/dispatcher.hpp
+++ b/src/libdispatch/include/medlarstall/dispatch/dispatcher.hpp
@@ -4,8 +4,10 @@
 #include <medlarstall/dispatch/crash_tracker.hpp>
 #include <medlarstall/dispatch/estimate_calibration.hpp>
 #include <medlarstall/dispatch/fleet_cells.hpp>
+#include <medlarstall/dispatch/limit_division.hpp>
 #include <medlarstall/dispatch/listed_servers.hpp>
 #include <medlarstall/dispatch/mechanism.hpp>
+#include <medlarstall/dispatch/placement.hpp>
 #include <medlarstall/dispatch/placement_cost.hpp>
 #include <medlarstall/dispatch/prompt_cache_estimate.hpp>
 #include <medlarstall/dispatch/rate_permits.hpp>
@@ -37,132 +39,6 @@
     mechanism_set disabled_mechanisms;
 };
 
-/// A request for which a backend server is to be chosen.
-struct placement_request
-{
-    std::string service; ///< Name of the service.
-    /// Empty for a service without a model.
-    std::optional<prompt> model_prompt;
-    /// How likely prefill of other prompts makes a pause between two events of
-    /// its answer too long, 0 to 1, as given by pause_sensitivity().
-    double pause_sensitivity = 0;
-    std::uint32_t urgency_rank = 0; ///< Rank; 0 is the most urgent.
-    /// The rank divided by the number of ranks.
-    double urgency_share = 0;
-    /// Hash of the request that breaks ties.
-    std::uint64_t tie_break_hash = 0;
-    /// Backend servers already tried.
-    std::vector<std::string> excluded_servers;
-};
-
-/// The backend server chosen for a request, and the values that led to it.
-struct placement
-{
-    std::string backend_server; ///< Id of the chosen backend server.
-    std::string address;        ///< Its address, in the form IP:PORT.
-    /// Number of backend servers compared.
-    std::size_t candidate_count = 0;
-    /// Number of backend servers left out to keep to their rate limits.
-    std::size_t withheld_count = 0;
-    cost_ms cost = 0; ///< Cost by which it was chosen.
-    /// Expected time to the first event; corrected by the slowness of the
-    /// backend server, but not by estimate_factor.
-    cost_ms expected_first_event = 0;
-    double estimate_factor = 1; ///< Calibration of estimates of the service.
-    /// Requests in flight at all candidates, divided by their slots.
-    double load_per_slot = 0;
-    std::uint32_t cached_tokens = 0; ///< Prompt tokens in its cache.
-    std::uint32_t copied_tokens = 0; ///< Prompt tokens that it should copy.
-    /// Address to copy from; empty if nothing is copied.
-    std::string copy_source_address;
-    double in_flight = 0;      ///< Requests in flight there, as far as known.
-    health state = health::up; ///< Its health when it was chosen.
-    std::chrono::milliseconds entry_age{0}; ///< Age of its entry in the list.
-};
-
-/// The load that a request in flight adds to its backend server. Kept with the
-/// request and passed back when the request progresses or ends.
-struct load_reservation
-{
-    std::string backend_server;
-    std::string service;
-    /// Number that this daemon gave to the run of the backend server.
-    std::uint64_t incarnation = 0;
-    double prefill_tokens = 0;
-    double memory_tokens = 0;
-    double pause_sensitivity = 0;
-    /// As in placement: corrected by slowness, but not by estimate_factor.
-    cost_ms expected_first_event = 0;
-    time_point sent_at;
-    /// Whether the first event of a stream, or the head of another answer, has
-    /// arrived.
-    bool answer_started = false;
-};
-
-/// How a request that was sent to a backend server ended there.
-enum class send_outcome
-{
-    succeeded,
-    failed,   ///< Connection lost, answer malformed, or an error status.
-    rejected, ///< The backend server stated that it has not run the request.
-    cancelled ///< The caller disconnected or the time limit passed.
-};
-
-/// Load of one backend server, as daemons report it to each other.
-struct server_load_entry
-{
-    std::string backend_server;
-    server_load load;
-};
-
-/// Prompt parts and the backend server that has them in its cache, as far as a
-/// daemon knows.
-struct server_prompt_parts
-{
-    std::string backend_server;
-    std::vector<prompt_part> parts;
-};
-
-/// Tells that a backend server has announced in an answer that it leaves. Holds
-/// for that run only; draining is stated in the list entry instead.
-struct leave_notice
-{
-    std::string backend_server;
-    /// As stated by its entry in the list.
-    std::int64_t started_unix_ms = 0;
-};
-
-/// The daemons of the fleet, each by the address of its peer listener.
-struct fleet_daemons
-{
-    std::string own; ///< Address of this daemon.
-    /// All daemons, including this one.
-    std::vector<std::string> all;
-    /// Those that share the rate limits of backend servers.
-    std::vector<std::string> limit_sharers;
-};
-
-/// When the caller of a request that exceeds the rate limits of a service
-/// should come back, and the values that led to it.
-struct limited_return
-{
-    duration delay{0};
-    std::size_t limited_servers = 0; ///< Backend servers with a rate limit.
-    double requests_per_second = 0;  ///< Sum of their limits.
-    std::size_t sharers = 0; ///< Daemons that share the limit of one of them.
-    duration age{0}; ///< Time since the oldest of the limits was observed.
-};
-
-/// Load figures that a backend server sends with its answers.
-struct server_load_report
-{
-    std::uint32_t running = 0; ///< Requests that run.
-    std::uint32_t waiting = 0; ///< Requests in its queue.
-    std::uint32_t slots = 0;   ///< Requests that it can run at the same time.
-    /// Time that work takes; 100 is normal.
-    std::uint32_t relative_duration_percent = 100;
-};
-
 /// Chooses backend servers. The choice depends on the list of backend servers,
 /// the outcome of earlier requests, the load that other daemons report, and the
 /// prompt parts that were sent to each backend server. Does no I/O; owned by
@@ -470,7 +346,7 @@
         server_rate_limit rate_limit; ///< Limit of all daemons together.
         rate_permits permits;         ///< Part of this daemon in the limit.
         limit_sharers sharers;
-        /// Value of sharers_revision_ from which sharers was computed.
+        /// Value of limit_division_.revision() from which sharers was computed.
         std::uint64_t sharers_revision = 0;
         bool leaving = false;
         /// When it announced to this daemon that it leaves; empty if only
@@ -478,13 +354,6 @@
         std::optional<time_point> announced_leaving_at;
     };
     /// A listed backend server together with its record.
-    /// Backend servers whose rate limits the same daemons share.
-    struct shared_part
-    {
-        std::vector<std::string> servers; ///< Their ids, sorted.
-        /// Hashes of the names of the daemons.
-        std::shared_ptr<std::vector<std::uint64_t> const> daemons;
-    };
     struct known_server
     {
         listed_servers::listing const* listing;
@@ -537,7 +406,6 @@
     void assign_servers_to_cell();
     shared_time time_of_day(time_point now) const;
     void update_sharers(std::string_view id, server_record& record);
-    std::vector<shared_part> divide_limits(std::string const& service) const;
     void add_permits(std::string_view id, server_record& record,
                      time_point now);
     static bool may_send(server_record const& record, double urgency_share,
@@ -563,12 +431,7 @@
     std::map<std::string, service_servers, std::less<>> services_;
     /// Whether services_ is up to date with the list and the cell.
     bool cell_assignment_valid_ = false;
-    fleet_daemons fleet_{"", {""}, {""}};
-    /// Increases when the daemons that share a rate limit may have changed.
-    std::uint64_t sharers_revision_ = 1;
-    /// For each service, its parts; computed for shared_parts_revision_.
-    std::map<std::string, std::vector<shared_part>, std::less<>> shared_parts_;
-    std::uint64_t shared_parts_revision_ = 0;
+    limit_division limit_division_;
     shared_time time_of_day_;
     time_point time_of_day_set_at_;
     std::map<std::string, return_schedule, std::less<>> return_schedules_;
--- a/src/libdispatch/src/dispatcher.cpp
+++ b/src/libdispatch/src/dispatcher.cpp
@@ -49,12 +49,12 @@
     cell_ = cell;
 }
 
-/// Called when the backend servers of a service have changed, so that the cells
-/// may use others than before.
+/// Called when backend servers were added or removed, so that the cells may use
+/// others than before.
 void dispatcher::invalidate_assignments()
 {
     cell_assignment_valid_ = false;
-    ++sharers_revision_;
+    limit_division_.on_servers_changed();
 }
 
 void dispatcher::set_routes(std::shared_ptr<routes::route_table const> table)
--- a/src/libdispatch/src/dispatcher_limits.cpp
+++ b/src/libdispatch/src/dispatcher_limits.cpp
@@ -2,8 +2,6 @@
 
 #include <medlarstall/dispatch/dispatcher.hpp>
 
-#include <medlarstall/support/digest.hpp>
-
 #include <algorithm>
 #include <utility>
 
@@ -20,9 +18,7 @@
 
 void dispatcher::set_fleet(fleet_daemons fleet)
 {
-    fleet_ = std::move(fleet);
-    std::ranges::sort(fleet_.limit_sharers);
-    ++sharers_revision_;
+    limit_division_.set_fleet(std::move(fleet));
 }
 
 void dispatcher::set_time_of_day(shared_time at, time_point now)
@@ -100,53 +96,13 @@
         }));
 }
 
-/// Determines which daemons share the rate limits of which backend servers of a
-/// service: those whose cells use them.
-std::vector<dispatcher::shared_part>
-dispatcher::divide_limits(std::string const& service) const
-{
-    std::vector<std::string> ids;
-    for (auto const& [id, listing] : server_list_.all()) {
-        if (listing.entry.service == service) {
-            ids.push_back(id);
-        }
-    }
-    std::vector<shared_part> parts;
-    for (auto& part : divide_service(fleet_.all, std::move(ids))) {
-        std::vector<std::uint64_t> daemons;
-        for (auto const& daemon : part.daemons) {
-            if (std::ranges::binary_search(fleet_.limit_sharers, daemon)) {
-                daemons.push_back(hash64(daemon));
-            }
-        }
-        std::ranges::sort(part.servers);
-        parts.push_back({std::move(part.servers),
-                         std::make_shared<std::vector<std::uint64_t> const>(
-                             std::move(daemons))});
-    }
-    return parts;
-}
-
 void dispatcher::update_sharers(std::string_view id, server_record& record)
 {
+    auto const revision = limit_division_.revision();
     auto const* const entry = find_entry(id);
-    if (record.sharers_revision == sharers_revision_ || entry == nullptr) {
-        return;
-    }
-    if (std::exchange(shared_parts_revision_, sharers_revision_) !=
-        sharers_revision_) {
-        shared_parts_.clear();
-    }
-    auto& parts = shared_parts_[entry->service];
-    if (parts.empty()) {
-        parts = divide_limits(entry->service);
-    }
-    record.sharers_revision = sharers_revision_;
-    record.sharers = {hash64(id), hash64(fleet_.own), nullptr};
-    for (auto const& part : parts) {
-        if (std::ranges::binary_search(part.servers, id)) {
-            record.sharers.all = part.daemons;
-        }
+    if (record.sharers_revision != revision && entry != nullptr) {
+        record.sharers_revision = revision;
+        record.sharers = limit_division_.sharers_of(*entry, server_list_);
     }
 }
 
--- a/src/libgateway/include/medlarstall/gateway/forwarded_request.hpp
+++ b/src/libgateway/include/medlarstall/gateway/forwarded_request.hpp
@@ -138,6 +138,7 @@
     void refuse_rate_limited(dispatch::limited_return const& booked,
                              time_point now);
     void send_to(dispatch::placement const& placement);
+    void log_send(dispatch::placement const& placement, time_point now);
     std::uint32_t urgency() const;
     double urgency_share() const;
     std::string serialise_request(dispatch::placement const& placement) const;
--- a/src/libgateway/src/forwarded_request.cpp
+++ b/src/libgateway/src/forwarded_request.cpp
@@ -19,8 +19,6 @@
 
 /// With less time left than this, no backend server is chosen any more.
 constexpr milliseconds min_useful_time{5};
-/// Silence of a backend server during a stream that makes it suspicious.
-constexpr milliseconds suspicious_stream_silence{1200};
 /// Retry-After of a request that has crashed backend servers.
 constexpr milliseconds crash_retry_delay{5000};
 constexpr double percent = 100.0;
@@ -273,6 +271,16 @@
             {placement.backend_server, work.model_prompt->parts},
             has_new_parts);
     }
+    log_send(placement, now);
+    auto const bodiless = caller_->head().method == "HEAD";
+    auto const connection = current_send_->connection;
+    connection->start_call(serialise_request(placement), bodiless,
+                           make_call_events(current_send_->number));
+}
+
+void forwarded_request::log_send(dispatch::placement const& placement,
+                                 time_point now)
+{
     auto const list_position = context_.server_list_position();
     log_entry line{context_.log, log_category::success, "send"};
     line.with("id", request_.metadata.attempt_id)
@@ -306,10 +314,6 @@
                   std::to_string(*limit->requests_per_second()))
             .with("limit_age", now - limit->observed_at().value_or(now));
     }
-    auto const bodiless = caller_->head().method == "HEAD";
-    auto const connection = current_send_->connection;
-    connection->start_call(serialise_request(placement), bodiless,
-                           make_call_events(current_send_->number));
 }
 
 http::call_events forwarded_request::make_call_events(std::uint64_t number)
@@ -466,70 +470,4 @@
     }
 }
 
-milliseconds forwarded_request::max_silence_before_answer() const
-{
-    auto const& route = *request_.route;
-    if (route.kind == routes::route_kind::stream) {
-        return std::max(route.objective, suspicious_stream_silence);
-    }
-    constexpr int objectives = 2;
-    return route.objective * objectives;
-}
-
-/// \return time without an event after which a stream counts as stuck, even if
-///     its backend server seems healthy
-milliseconds forwarded_request::max_silence_in_stream() const
-{
-    constexpr int pauses = 4; // A slow server may far exceed the objective.
-    return std::max(2 * suspicious_stream_silence,
-                    pauses * request_.route->pause_objective);
-}
-
-void forwarded_request::note_suspension(duration suspended, time_point now)
-{
-    if (finished_) {
-        return;
-    }
-    if (current_send_) {
-        current_send_->last_progress_at = now;
-    }
-    if (suspended > duration::zero()) {
-        deadline_ -= suspended;
-        start_deadline_timer();
-    }
-}
-
-void forwarded_request::check_silence(time_point now)
-{
-    if (!current_send_ || finished_) {
-        return;
-    }
-    auto const silence = now - current_send_->last_progress_at;
-    auto* const health = context_.dispatcher.health_tracker_of(
-        current_send_->placement.backend_server);
-    auto const expected = milliseconds{static_cast<std::int64_t>(
-        current_send_->placement.expected_first_event)};
-    auto const suspicious_silence =
-        current_send_->reservation.answer_started
-            ? suspicious_stream_silence
-            : max_silence_before_answer() + 2 * expected;
-    if (silence < suspicious_silence) {
-        return;
-    }
-    if (health != nullptr) {
-        health->on_no_data(now);
-    }
-    auto const down =
-        health == nullptr || health->state() == dispatch::health::down;
-    auto const repeatable =
-        request_.route->kind == routes::route_kind::idempotent;
-    auto const stuck = current_send_->reservation.answer_started &&
-                       silence > max_silence_in_stream();
-    if (!may_run_elsewhere() || !(down || repeatable || stuck)) {
-        return;
-    }
-    end_send(dispatch::send_outcome::failed);
-    handle_send_failure(dispatch::send_failure::outcome_unknown, "silent");
-}
-
 } // namespace medlarstall::gateway
--- /dev/null
+++ b/src/libgateway/src/forwarded_request_silence.cpp
@@ -0,0 +1,85 @@
+// Backend servers that send nothing for too long, and times in which this
+// daemon did not run.
+
+#include <medlarstall/gateway/forwarded_request.hpp>
+
+#include <algorithm>
+
+namespace medlarstall::gateway {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Silence of a backend server during a stream that makes it suspicious.
+constexpr milliseconds suspicious_stream_silence{1200};
+
+} // namespace
+
+milliseconds forwarded_request::max_silence_before_answer() const
+{
+    auto const& route = *request_.route;
+    if (route.kind == routes::route_kind::stream) {
+        return std::max(route.objective, suspicious_stream_silence);
+    }
+    constexpr int objectives = 2;
+    return route.objective * objectives;
+}
+
+/// \return time without an event after which a stream counts as stuck, even if
+///     its backend server seems healthy
+milliseconds forwarded_request::max_silence_in_stream() const
+{
+    constexpr int pauses = 4; // A slow server may far exceed the objective.
+    return std::max(2 * suspicious_stream_silence,
+                    pauses * request_.route->pause_objective);
+}
+
+void forwarded_request::note_suspension(duration suspended, time_point now)
+{
+    if (finished_) {
+        return;
+    }
+    if (current_send_) {
+        current_send_->last_progress_at = now;
+    }
+    if (suspended > duration::zero()) {
+        deadline_ -= suspended;
+        start_deadline_timer();
+    }
+}
+
+void forwarded_request::check_silence(time_point now)
+{
+    if (!current_send_ || finished_) {
+        return;
+    }
+    auto const silence = now - current_send_->last_progress_at;
+    auto* const health = context_.dispatcher.health_tracker_of(
+        current_send_->placement.backend_server);
+    auto const expected = milliseconds{static_cast<std::int64_t>(
+        current_send_->placement.expected_first_event)};
+    auto const suspicious_silence =
+        current_send_->reservation.answer_started
+            ? suspicious_stream_silence
+            : max_silence_before_answer() + 2 * expected;
+    if (silence < suspicious_silence) {
+        return;
+    }
+    if (health != nullptr) {
+        health->on_no_data(now);
+    }
+    auto const down =
+        health == nullptr || health->state() == dispatch::health::down;
+    auto const repeatable =
+        request_.route->kind == routes::route_kind::idempotent;
+    auto const stuck = current_send_->reservation.answer_started &&
+                       silence > max_silence_in_stream();
+    if (!may_run_elsewhere() || !(down || repeatable || stuck)) {
+        return;
+    }
+    end_send(dispatch::send_outcome::failed);
+    handle_send_failure(dispatch::send_failure::outcome_unknown, "silent");
+}
+
+} // namespace medlarstall::gateway
