--- a/tests/libgateway/gateway_fixture.hpp
+++ b/tests/libgateway/gateway_fixture.hpp
@@ -40,6 +40,9 @@
     std::vector<std::unique_ptr<medlarstall::gateway::gateway>> gateways;
     std::vector<std::shared_ptr<medlarstall::http::upstream_connection>>
         connections;
+    /// Where each gateway reaches the store, if each has an address of its own.
+    std::vector<asio::ip::tcp::endpoint> store_addresses;
+    bool has_own_store_addresses = false;
     int null_descriptor = -1;
 
     /// \param server_count number of backend servers to start and list
