Keep the port of a stand-in that is down

Cause: a stand-in that crashes closes its listener and listens on the same ephemeral port again later. In between any connection of another process may be given that port. The clash itself was not caught a second time. Ruled out: the daemons, which bind port 0.

Change: while stopped, the host keeps the port bound without listening, so that connections are refused as before and nobody else is given it.

No check is changed.

--- a/tests/standins/src/http_host.cpp
+++ b/tests/standins/src/http_host.cpp
@@ -85,6 +85,20 @@
     std::uint64_t latest_connection = 0;
     std::uint64_t silent_up_to = 0;
     std::vector<unanswered_request> unanswered;
+    /// Keeps the port while the host is stopped, so that no other process gets
+    /// it; a connection to it is refused.
+    asio::ip::tcp::acceptor reserved_port{context};
+
+    void reserve_port()
+    {
+        asio::ip::tcp::endpoint const endpoint{
+            asio::ip::make_address(settings.address), port};
+        std::error_code ignored;
+        std::ignore = reserved_port.open(endpoint.protocol(), ignored);
+        std::ignore = reserved_port.set_option(
+            asio::socket_base::reuse_address{true}, ignored);
+        std::ignore = reserved_port.bind(endpoint, ignored);
+    }
 
     [[nodiscard]] bool silent(std::uint64_t connection) const
     {
@@ -308,6 +322,8 @@
                         largest_body));
         });
     parts_->http->open_sync();
+    std::error_code ignored;
+    std::ignore = parts_->reserved_port.close(ignored);
 }
 
 void http_host::stop()
@@ -317,6 +333,7 @@
     }
     parts_->http->close_sync();
     parts_->http.reset();
+    parts_->reserve_port();
     parts_->drop_all();
     parts_->unanswered.clear();
     parts_->silent_up_to = 0;
