--- a/tests/libgateway/gateway_fixture.cpp
+++ b/tests/libgateway/gateway_fixture.cpp
@@ -158,7 +158,8 @@
 std::shared_ptr<caller_answer>
 gateway_fixture::send(std::size_t gateway, std::string const& method,
                       std::string const& path, std::string const& id,
-                      std::string const& key, std::string const& tokens)
+                      std::string const& key, std::string const& tokens,
+                      std::string const& parts)
 {
     auto answer = std::make_shared<caller_answer>();
     auto connection = std::make_shared<http::upstream_connection>(
@@ -171,6 +172,8 @@
     head.headers.add("X-Hold", "not-yours");
     if (!tokens.empty()) {
         head.headers.add("X-Token-Count", tokens);
+        head.headers.add("X-Model", "m");
+        head.headers.add("X-Prefix-Hash", parts);
     }
     if (!key.empty()) {
         head.headers.add("Authorization", "Token " + key);
--- a/tests/libgateway/gateway_fixture.hpp
+++ b/tests/libgateway/gateway_fixture.hpp
@@ -81,11 +81,13 @@
 
     /// Sends a request to a gateway.
     /// \param tokens token counts of a request to a model; empty for others
+    /// \param parts the parts of its prompt; empty for none
     /// \return the answer, which is filled while the event loop runs
     std::shared_ptr<caller_answer>
     send(std::size_t gateway, std::string const& method,
          std::string const& path, std::string const& id,
-         std::string const& key = "key-small", std::string const& tokens = "");
+         std::string const& key = "key-small", std::string const& tokens = "",
+         std::string const& parts = "");
 
     /// Sends a request and runs the event loop until its answer has ended.
     caller_answer send_and_wait(std::size_t gateway, std::string const& method,
--- a/tests/platform_standins/include/medlarstall/platform_standins/server_standin.hpp
+++ b/tests/platform_standins/include/medlarstall/platform_standins/server_standin.hpp
@@ -10,6 +10,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -61,6 +62,17 @@
     /// \param next what to do
     void script(behaviour const& next) { script_.push_back(next); }
 
+    /// Sets a prompt part that crashes it, unless it is the last of a prompt.
+    /// \param part id of the part as requests state it
+    void crash_on(std::string part) { crashing_part_ = std::move(part); }
+
+    /// \return when it has crashed; empty if it has not
+    [[nodiscard]] std::optional<std::chrono::steady_clock::time_point>
+    crashed_at() const
+    {
+        return crashed_at_;
+    }
+
     /// Says in all answers from now on that it leaves.
     void leave() { leaving_ = true; }
 
@@ -100,6 +112,8 @@
 
 private:
     void on_request(std::unique_ptr<http::exchange> caller);
+    bool crashes_it(http::exchange& caller) const;
+    void crash(http::exchange& caller);
     void send_events(http::exchange& caller, std::uint64_t count);
     http::response_head head_for(http::exchange& caller, int status) const;
 
@@ -112,6 +126,8 @@
     std::vector<std::chrono::steady_clock::time_point> arrival_times_;
     bool leaving_ = false;
     std::string rate_limit_;
+    std::string crashing_part_;
+    std::optional<std::chrono::steady_clock::time_point> crashed_at_;
 };
 
 } // namespace medlarstall::platform_standins
--- a/tests/platform_standins/src/server_standin.cpp
+++ b/tests/platform_standins/src/server_standin.cpp
@@ -47,8 +47,31 @@
     return head;
 }
 
+bool server_standin::crashes_it(http::exchange& caller) const
+{
+    auto const* const parts = caller.head().headers.find("X-Prefix-Hash");
+    return !crashing_part_.empty() && parts != nullptr &&
+           parts->substr(0, parts->rfind(',')).find(crashing_part_ + ":") !=
+               std::string::npos;
+}
+
+/// Breaks off all answers, and refuses connections from now on.
+void server_standin::crash(http::exchange& caller)
+{
+    crashed_at_ = std::chrono::steady_clock::now();
+    listener_.close();
+    caller.abort();
+    for (auto const& held : std::exchange(held_, {})) {
+        held->abort();
+    }
+}
+
 void server_standin::on_request(std::unique_ptr<http::exchange> caller)
 {
+    if (crashed_at_) {
+        caller->abort();
+        return;
+    }
     arrival_times_.push_back(std::chrono::steady_clock::now());
     auto const& headers = caller->head().headers;
     if (caller->head().target == "/healthz") {
@@ -78,6 +101,10 @@
         next = {behaviour::kind::answer, next.resumed_events};
     }
     runs_.push_back({caller->head(), caller->body()});
+    if (crashes_it(*caller)) {
+        crash(*caller);
+        return;
+    }
     switch (next.what) {
     case behaviour::kind::fail:
         caller->respond({head_for(*caller, 500), "failed"});
