Draw the random bits of identifiers in a fixed order

Cause: two draws stood in one list of arguments, whose order of evaluation the language leaves open and which differs between the two kinds of machine, so that a seed played another run. make_random_uuid_v7() draws in two statements, in the order of x86-64; the same form in bench/claim uses it as well. The check is unchanged and passes. Not changed: draws without a seed in libdaemon, libcli and the test cluster.

--- a/bench/claim/fleet.cpp
+++ b/bench/claim/fleet.cpp
@@ -88,7 +88,7 @@
         return;
     }
     auto const daemon = random_() % engines_.size();
-    auto const key = make_uuid_v7(now().wall, random_(), random_());
+    auto const key = make_random_uuid_v7(now().wall, random_);
     started_[++last_call_] = now_;
     ++figures_.calls;
     feed(daemon, engines_[daemon].submit_call({.id = last_call_,
--- a/bench/claim/main.cpp
+++ b/bench/claim/main.cpp
@@ -101,8 +101,8 @@
     wall_time const time{std::chrono::hours{480'000}};
     auto const before = mallinfo2().uordblks;
     for (std::size_t i = 0; i < keys; ++i) {
-        auto const key = make_uuid_v7(time, random(), random());
-        auto const attempt = make_uuid_v7(time, random(), random());
+        auto const key = make_random_uuid_v7(time, random);
+        auto const attempt = make_random_uuid_v7(time, random);
         table.apply(claim_record{.key = key, .attempt = attempt}, time);
         if (body > 0) {
             outcome result{.known = true, .body = std::string(body, 'x')};
--- a/src/libclaim/src/claim_engine_calls.cpp
+++ b/src/libclaim/src/claim_engine_calls.cpp
@@ -138,7 +138,7 @@
 
 void claim_engine::submit_claim(waiting_call const& value, event_time now)
 {
-    auto const id = make_uuid_v7(now.wall, random_(), random_());
+    auto const id = make_random_uuid_v7(now.wall, random_);
     auto const [found, inserted] = attempts_.emplace(
         id, attempt{.key = value.key, .digest = value.digest});
     attempt_by_key_[value.key] = id;
--- a/src/libsupport/include/medlarstall/support/uuid.hpp
+++ b/src/libsupport/include/medlarstall/support/uuid.hpp
@@ -44,6 +44,19 @@
 [[nodiscard]] uuid make_uuid_v7(wall_time time, std::uint64_t random_high,
                                 std::uint64_t random_low);
 
+/// Makes a time-ordered UUID with drawn random bits.
+/// \param time time of day that the UUID contains
+/// \param random called twice; returns 64 random bits
+/// \return a UUID of version 7; the same for the same draws on any machine
+template<class Random>
+[[nodiscard]] uuid make_random_uuid_v7(wall_time time, Random&& random)
+{
+    // As arguments of one call, the draws would be made in either order.
+    std::uint64_t const random_low = random();
+    std::uint64_t const random_high = random();
+    return make_uuid_v7(time, random_high, random_low);
+}
+
 /// Returns the version number that an identifier states.
 /// \param id identifier of any version
 /// \return the version, from 0 to 15
--- a/tests/libclaim/claim_simulation.cpp
+++ b/tests/libclaim/claim_simulation.cpp
@@ -320,7 +320,7 @@
 
 uuid claim_simulation::new_key()
 {
-    return make_uuid_v7(wall_, random_(), random_());
+    return make_random_uuid_v7(wall_, random_);
 }
 
 event_time claim_simulation::now() const
