Build with optimisation 3 without a warning

The build of deploy/system.toml (Release) stopped: g++ 12 takes an appended sum of a literal and std::to_string() for an overlapping copy. The two are appended one after the other now.

--- a/src/libgateway/src/gateway_upkeep.cpp
+++ b/src/libgateway/src/gateway_upkeep.cpp
@@ -52,7 +52,10 @@
 {
     std::string text;
     for (auto const id : ids) {
-        text += (text.empty() ? "" : ",") + std::to_string(id);
+        if (!text.empty()) {
+            text += ',';
+        }
+        text += std::to_string(id);
     }
     return text;
 }
