--- a/tests/platform/readers_test.cpp
+++ b/tests/platform/readers_test.cpp
@@ -113,6 +113,46 @@
     BOOST_TEST(value_of(read).started_unix_ms == 1700000000000);
 }
 
+// An entry of another writer was taken for a server to use.
+BOOST_AUTO_TEST_CASE(an_odd_entry_names_a_server_to_use)
+{
+    std::string const whole = entry_text;
+    auto const accepts_with = [&whole](std::string const& from,
+                                       std::string const& to) {
+        auto text = whole;
+        BOOST_REQUIRE(text.find(from) != std::string::npos);
+        text.replace(text.find(from), from.size(), to);
+        return !failed(read_server_entry("i", text));
+    };
+    BOOST_TEST(accepts_with(R"("slots":64)", R"("slots":63)"));
+    for (auto const* const slots : {"4294967297", "1e400", "-1", "1.5"}) {
+        BOOST_TEST(
+            !accepts_with(R"("slots":64)", std::string{R"("slots":)"} + slots));
+    }
+    for (auto const* const address :
+         {"10.0.0.1:99999", "10.0.0.1:0", "10.0.0.1:", "10.0.0.1", "h:80",
+          "10.0.0.1:80x", "10.0.0.1:-1"}) {
+        BOOST_TEST(!accepts_with("10.0.0.1:80", address));
+    }
+    BOOST_TEST(!accepts_with("1700000000000", "18446744073709551615"));
+    constexpr std::size_t depth = 200000;
+    for (auto const* const open : {"[", R"({"a":)"}) {
+        std::string nested;
+        for (std::size_t level = 0; level < depth; ++level) {
+            nested += open;
+        }
+        BOOST_TEST(failed(read_server_entry("i", nested)));
+        auto const& last = open[0] == '[' ? "]" : "}";
+        nested += "1";
+        for (std::size_t level = 0; level < depth; ++level) {
+            nested += last;
+        }
+        BOOST_TEST(!accepts_with(R"("slots":64)", R"("slots":)" + nested));
+        std::ignore = accepts_with(R"("slots":64)",
+                                   R"("x":)" + nested + R"(,"slots":64)");
+    }
+}
+
 BOOST_AUTO_TEST_CASE(rejects_truncated_and_invalid_entries)
 {
     std::string const whole = entry_text;
