Do not take an earlier refusal for the answer to a later request

Reported by operators of similar systems: a faulty backend server wrote an earlier refusal once more on a kept connection, and callers were told that a request had not run which the server ran. Here it happened with a refusal that names no request: the answer was 503 (not run), and the request had been sent (test: 503 where 200 and the answer are expected).

Cause: a refusal without the id of an attempt was taken for the answer to the present call on any connection. Refusals that name another request were skipped already (a_duplicate_answer_is_not_relayed_to_another_caller). Now such a refusal counts only on a connection that has carried no other call, where it cannot belong to an earlier one; elsewhere the answer that follows is awaited.

Test: an_earlier_refusal_is_taken_for_that_of_a_later_request, failed before.

--- a/src/libgateway/src/forwarded_request_relay.cpp
+++ b/src/libgateway/src/forwarded_request_relay.cpp
@@ -31,7 +31,8 @@
     if (metadata.attempt_id) {
         return *metadata.attempt_id == request_.metadata.attempt_id;
     }
-    return metadata.rejected;
+    // A server may write an earlier refusal once more.
+    return metadata.rejected && !current_send_->connection->is_reused();
 }
 
 void forwarded_request::on_interim_head(http::response_head const& head)
--- a/src/libhttp/include/medlarstall/http/upstream_connection.hpp
+++ b/src/libhttp/include/medlarstall/http/upstream_connection.hpp
@@ -8,6 +8,7 @@
 #include <asio/steady_timer.hpp>
 
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -103,6 +104,9 @@
         return keep_alive_timeout_;
     }
 
+    /// \return true if the connection has carried another call before
+    [[nodiscard]] bool is_reused() const { return call_count_ > 1; }
+
     /// \return true if the kernel has accepted any byte of the current request
     [[nodiscard]] bool has_sent() const { return channel_->has_sent(); }
 
@@ -136,6 +140,7 @@
     message_parser parser_{message_kind::response};
     std::string request_;
     call_events events_;
+    std::uint64_t call_count_ = 0;
     std::function<void()> closed_while_idle_handler_;
     std::optional<std::chrono::seconds> keep_alive_timeout_;
     time_point last_activity_;
--- a/src/libhttp/src/upstream_connection.cpp
+++ b/src/libhttp/src/upstream_connection.cpp
@@ -51,6 +51,7 @@
 void upstream_connection::start_call(std::string request, bool no_body,
                                      call_events events)
 {
+    ++call_count_;
     request_ = std::move(request);
     events_ = std::move(events);
     no_body_ = no_body;
--- a/tests/libgateway/faulty_servers_test.cpp
+++ b/tests/libgateway/faulty_servers_test.cpp
@@ -115,6 +115,22 @@
     }
 }
 
+// A refusal of an earlier request, which named no request, was taken for the
+// answer to a request that the server ran.
+BOOST_AUTO_TEST_CASE(an_earlier_refusal_is_taken_for_that_of_a_later_request)
+{
+    std::string const refusal =
+        "HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+    auto const good =
+        head + "Keep-Alive: timeout=9\r\nContent-Length: 2\r\n\r\nID";
+    faulty_server_fixture world{{good, "", {}, refusal}};
+    for (auto const* const id : {"X1", "X2", "X3"}) {
+        auto const answer = world.send_and_wait(0, "POST", "/once/a", id);
+        BOOST_TEST(answer.status == 200);
+        BOOST_TEST(answer.body == id);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(a_stuck_stream_that_sends_some_bytes_is_resumed_elsewhere)
 {
     using kind = platform_standins::behaviour::kind;
--- a/tests/platform_standins/include/medlarstall/platform_standins/raw_server.hpp
+++ b/tests/platform_standins/include/medlarstall/platform_standins/raw_server.hpp
@@ -19,6 +19,8 @@
     std::string first; ///< Once; ID stands for the id of the attempt.
     std::string again; ///< After that, until the connection is closed.
     std::chrono::milliseconds interval{0}; ///< Between two of the latter.
+    /// Before `first`, unless the request is the first of its connection.
+    std::string before_later;
 };
 
 /// A backend server in trouble: it answers with bytes that need not be HTTP and
--- a/tests/platform_standins/src/raw_server.cpp
+++ b/tests/platform_standins/src/raw_server.cpp
@@ -18,6 +18,7 @@
     asio::steady_timer timer;
     std::array<char, 4096> buffer{};
     std::string received;
+    bool answered = false; ///< It has carried a request before.
 };
 
 raw_server::raw_server(asio::io_context& context, raw_answer answer)
@@ -76,7 +77,8 @@
     constexpr std::string_view field = "X-Attempt-Id: ";
     auto const at = head.find(field) + field.size();
     auto const id = head.substr(at, head.find('\r', at) - at);
-    auto text = answer_.first;
+    auto const later = std::exchange(with->answered, true);
+    auto text = (later ? answer_.before_later : "") + answer_.first;
     for (auto place = text.find("ID"); place != std::string::npos;
          place = text.find("ID")) {
         text.replace(place, 2, id);
