Do not relay the error of a second server within a stream

Reported by operators of similar systems: a stream had begun and broke off, the next backend server answered with an error, and its text stood in the stream. Here it happened with errors longer than 262,144 bytes: what is collected of an answer is relayed from that length on, whether or not a stream had begun, and the stream then ended as if it were complete (test: lengths of 300,000 and 2,000,000 fail, 20 and 3,000 were kept out before).

Change: nothing is collected of an answer that is no stream once events were relayed; at its end the stream is resumed elsewhere or broken off, as for short errors before.

Test: the_error_of_a_server_stands_in_a_resumed_stream, failed before.

--- a/src/libgateway/src/forwarded_request_relay.cpp
+++ b/src/libgateway/src/forwarded_request_relay.cpp
@@ -96,6 +96,9 @@
     case relay_mode::discarded:
         break;
     default:
+        if (caller_->response_started()) {
+            break; // An answer that is no stream cannot continue one.
+        }
         current_send_->body += bytes;
         if (current_send_->body.size() > max_buffered_answer) {
             current_send_->mode = relay_mode::chunks;
--- a/tests/libgateway/gateway_test.cpp
+++ b/tests/libgateway/gateway_test.cpp
@@ -286,6 +286,21 @@
     BOOST_TEST(answer.body == events_to(3));
 }
 
+// A long error of the second server was relayed in the middle of the stream.
+BOOST_AUTO_TEST_CASE(the_error_of_a_server_stands_in_a_resumed_stream)
+{
+    for (std::size_t const length : {20U, 3000U, 300000U, 2000000U}) {
+        ready_gateway_fixture world{2};
+        platform_standins::behaviour next{kind::cut, 3};
+        next.resumed_error_bytes = length;
+        world.script_all(next);
+        auto const answer = world.send_and_wait(0, "POST", "/resume/a", "id-1");
+        BOOST_TEST(world.runs() == 2U);
+        BOOST_TEST(answer.broken);
+        BOOST_TEST(answer.body == events_to(3));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(a_resumed_stream_contains_each_event_once)
 {
     ready_gateway_fixture world{2};
--- a/tests/platform_standins/include/medlarstall/platform_standins/server_standin.hpp
+++ b/tests/platform_standins/include/medlarstall/platform_standins/server_standin.hpp
@@ -34,6 +34,9 @@
     /// For a request that resumes a stream: it is answered up to this event.
     std::uint64_t resumed_events = 0;
     std::string pause; ///< What a turned-away caller is told to wait.
+    /// A request that resumes a stream fails with so many bytes; 0: it does
+    /// not.
+    std::size_t resumed_error_bytes = 0;
 };
 
 /// A request that a stand-in backend server has run.
--- a/tests/platform_standins/src/server_standin.cpp
+++ b/tests/platform_standins/src/server_standin.cpp
@@ -101,6 +101,11 @@
         next = {behaviour::kind::answer, next.resumed_events};
     }
     runs_.push_back({caller->head(), caller->body()});
+    if (next.resumed_error_bytes > 0 && headers.contains("Last-Event-Id")) {
+        caller->respond({head_for(*caller, 500),
+                         std::string(next.resumed_error_bytes, 'e')});
+        return;
+    }
     if (crashes_it(*caller)) {
         crash(*caller);
         return;
