--- a/src/libgateway/src/forwarded_request.cpp
+++ b/src/libgateway/src/forwarded_request.cpp
@@ -19,8 +19,6 @@
 
 /// With less time left than this, no backend server is chosen any more.
 constexpr milliseconds min_useful_time{5};
-/// Retry-After of a request that has crashed backend servers.
-constexpr milliseconds crash_retry_delay{5000};
 constexpr double percent = 100.0;
 
 std::uint64_t hash_of(std::string_view text, std::uint64_t seed = 0)
@@ -150,36 +148,6 @@
     }
 }
 
-/// Ends the request if it is taken to crash the backend servers that run it.
-/// \return true if it has ended
-bool forwarded_request::end_if_crashing(time_point now)
-{
-    auto& crashes = context_.dispatcher.crashes();
-    crashes.parts().update(now);
-    auto const blamed = crashes.parts().find_blamed(crash_suspect_.parts, now);
-    if (!blamed && !crashes.is_quarantined(crash_suspect_.request, now)) {
-        return false;
-    }
-    log_entry line{context_.log, log_category::failure, "crashing"};
-    line.with("id", request_.metadata.attempt_id)
-        .with("fingerprint", crash_suspect_.request)
-        .with("sends", send_count_);
-    if (blamed) {
-        line.with("part", blamed->part)
-            .with("crashes", blamed->crashes)
-            .with("crash_age", blamed->age);
-    }
-    constexpr auto* code = "crashes_backend_servers";
-    if (caller_->response_started()) {
-        abort_answer(code);
-    } else if (attempts_.may_have_run) {
-        answer_error(bad_gateway, code);
-    } else {
-        refuse(code, crash_retry_delay);
-    }
-    return true;
-}
-
 /// Sends a request to the backend server chosen for it. The first send of a
 /// request to a model is subject to admission control: it is refused if the
 /// backend servers are overloaded.
@@ -391,117 +359,6 @@
     return events;
 }
 
-void forwarded_request::on_failed(http::call_failure failure)
-{
-    if (current_send_->rejected) {
-        on_rejected();
-        return;
-    }
-    auto const now = monotonic_clock::now();
-    auto const server = current_send_->placement.backend_server;
-    auto* const health = context_.dispatcher.health_tracker_of(server);
-    if (failure == http::call_failure::not_connected) {
-        context_.on_server_unreachable(server);
-    } else if (failure != http::call_failure::malformed) {
-        if (health != nullptr) {
-            health->on_connection_lost(now);
-        }
-        context_.dispatcher.crashes().on_connection_lost(crash_suspect_, server,
-                                                         now);
-    }
-    auto const not_sent = http::certainly_not_sent(failure);
-    end_send(not_sent ? dispatch::send_outcome::cancelled
-                      : dispatch::send_outcome::failed);
-    handle_send_failure(not_sent ? dispatch::send_failure::not_sent
-                                 : dispatch::send_failure::outcome_unknown,
-                        name_of(failure));
-}
-
-bool forwarded_request::take_retry_budget(dispatch::send_failure failure)
-{
-    if (failure == dispatch::send_failure::not_sent) {
-        return true;
-    }
-    auto const decision =
-        context_.dispatcher.try_retry(service_, monotonic_clock::now());
-    context_.metrics.count_retry_decision(decision.allowed ? "made"
-                                                           : "withheld");
-    log_entry{context_.log, log_category::failure, "retry"}
-        .with("id", request_.metadata.attempt_id)
-        .with("service", service_)
-        .with("allowed", decision.allowed ? "yes" : "no")
-        .with("requests", decision.requests)
-        .with("retries", decision.retries)
-        .with("earned", decision.earned)
-        .with("max_saved_percent",
-              static_cast<std::int64_t>(decision.share.max_saved * percent))
-        .with("slack_used", decision.slack_used)
-        .with("slack", decision.share.retries_per_window)
-        .with("daemons", decision.daemons)
-        .with("running", context_.running_time());
-    return decision.allowed;
-}
-
-/// \return false if events were relayed already and the stream cannot be
-///     resumed
-bool forwarded_request::can_continue() const
-{
-    if (!caller_->response_started()) {
-        return true;
-    }
-    return request_.route->resumable && last_event_id_.has_value();
-}
-
-/// \return true if the request may be run by another backend server after the
-///     current send
-bool forwarded_request::may_run_elsewhere() const
-{
-    auto const& route = *request_.route;
-    return route.may_run_again() && can_continue() &&
-           attempts_.servers_reached + 1 < route.max_attempts;
-}
-
-void forwarded_request::handle_send_failure(dispatch::send_failure failure,
-                                            char const* reason)
-{
-    auto step =
-        dispatch::step_after_failure(*request_.route, attempts_, failure);
-    if (step == dispatch::next_step::send_again &&
-        (!can_continue() || !take_retry_budget(failure))) {
-        step = dispatch::step_without_retry(attempts_);
-    }
-    log_failed_send(reason, step);
-    switch (step) {
-    case dispatch::next_step::send_again:
-        choose_server();
-        break;
-    case dispatch::next_step::refuse:
-        refuse("not_run",
-               retry_delay_after_pause(dispatch::rejected_retry_after));
-        break;
-    case dispatch::next_step::give_up:
-        if (caller_->response_started()) {
-            abort_answer(reason);
-        } else {
-            answer_error(bad_gateway, reason);
-        }
-        break;
-    }
-}
-
-void forwarded_request::log_failed_send(char const* reason,
-                                        dispatch::next_step step)
-{
-    log_entry{context_.log, log_category::failure, "send_failed"}
-        .with("id", request_.metadata.attempt_id)
-        .with("server", tried_servers_.empty() ? "" : tried_servers_.back())
-        .with("reason", reason)
-        .with("reached", attempts_.servers_reached)
-        .with("may_have_run", attempts_.may_have_run ? "yes" : "no")
-        .with("step", name_of(step))
-        .with("left", time_left(monotonic_clock::now()));
-}
-
 void forwarded_request::end_send(dispatch::send_outcome outcome)
 {
     if (!current_send_) {
