Read the start time of a daemon after it is set

A daemon that had started again used its part of the slack at once, although it is to wait for one window. Cause: the settings of the dispatcher were made in the constructor, where the start time was read before it was initialised. It is now initialised before the dispatcher. Found when reading the change.

Test: a_daemon_that_starts_again_uses_its_slack_at_once, run with the old order of the members: fails; it passes now.

--- a/src/libgateway/include/medlarstall/gateway/gateway.hpp
+++ b/src/libgateway/include/medlarstall/gateway/gateway.hpp
@@ -229,6 +229,7 @@
     platform_adapter adapter_;
     structured_log log_;
     gateway_metrics metrics_;
+    time_point started_at_ = monotonic_clock::now();
     std::uint64_t incarnation_ = 0;
     dispatch::dispatcher dispatcher_;
     connection_pool pool_;
@@ -297,7 +298,6 @@
     /// hears from, in the hash order of the names, and therefore always is a
     /// continuous reader of the store once it has discovered them.
     bool is_first_reader_ = false;
-    time_point started_at_;
     bool initial_parts_requested_ = false;
     time_point next_gauges_;
     std::function<void()> on_stopped_;
--- a/tests/libgateway/gateway_fixture.cpp
+++ b/tests/libgateway/gateway_fixture.cpp
@@ -55,6 +55,7 @@
     settings.entry_address = settings.ready_address = any_free_port();
     settings.directory_address = settings.peer_address = any_free_port();
     settings.grace_period = grace_period;
+    settings.first_start = first_start;
     store_addresses.push_back(has_own_store_addresses ? store.add_address()
                                                       : store.address());
     gateways.push_back(std::make_unique<gateway::gateway>(
--- a/tests/libgateway/gateway_fixture.hpp
+++ b/tests/libgateway/gateway_fixture.hpp
@@ -43,6 +43,8 @@
     /// Where each gateway reaches the store, if each has an address of its own.
     std::vector<asio::ip::tcp::endpoint> store_addresses;
     bool has_own_store_addresses = false;
+    /// Whether gateways that are added start with the whole system.
+    bool first_start = true;
     int null_descriptor = -1;
 
     /// \param server_count number of backend servers to start and list
--- a/tests/libgateway/gateway_test.cpp
+++ b/tests/libgateway/gateway_test.cpp
@@ -188,6 +188,29 @@
     BOOST_TEST(again.status == 200);
 }
 
+// A daemon that was killed took its part of the retry budget again.
+BOOST_AUTO_TEST_CASE(a_daemon_that_starts_again_uses_its_slack_at_once)
+{
+    gateway_fixture world{2};
+    world.first_start = false;
+    world.write_configuration(1);
+    world.add_gateway();
+    BOOST_REQUIRE(world.wait_until_ready(0));
+    world.run_for(std::chrono::milliseconds{300}); // Until it knows the fleet.
+    auto const before = world.total_runs();
+    constexpr std::size_t requests = 4; // They earn one retry at most.
+    for (std::size_t at = 0; at < requests; ++at) {
+        for (auto const& server : world.servers) {
+            server->script({kind::fail});
+            server->script({kind::fail});
+        }
+        auto const answer = world.send_and_wait(0, "POST", "/safe/a",
+                                                "id-" + std::to_string(at));
+        BOOST_TEST(answer.status == 500);
+    }
+    BOOST_TEST(world.total_runs() <= before + requests + 1);
+}
+
 BOOST_AUTO_TEST_CASE(the_failure_of_an_unrepeatable_request_is_relayed)
 {
     ready_gateway_fixture world{2};
