--- a/src/libdispatch/src/crashing_parts.cpp
+++ b/src/libdispatch/src/crashing_parts.cpp
@@ -185,6 +185,7 @@
         return now - crash.at >= memory;
     });
     std::vector<server_crash const*> known;
+    known.reserve(crashes_.size());
     for (auto const& crash : crashes_) {
         known.push_back(&crash);
     }
--- a/tests/libdispatch/decisions_test.cpp
+++ b/tests/libdispatch/decisions_test.cpp
@@ -89,6 +89,7 @@
     auto const daemons = *rc::gen::inRange<std::size_t>(1, 8);
     retry_limits const limits{0.2, 54.0, 10s};
     std::vector<retry_budget> budgets;
+    budgets.reserve(daemons);
     for (std::size_t index = 0; index < daemons; ++index) {
         budgets.emplace_back(*rc::gen::inRange(0, 100) / 100.0);
     }
--- a/tests/libdispatch/retry_budget_simulation.hpp
+++ b/tests/libdispatch/retry_budget_simulation.hpp
@@ -239,6 +239,7 @@
     {
         requests_.push_back(now_);
         std::vector<double> weights;
+        weights.reserve(daemons_.size());
         for (auto const& item : daemons_) {
             weights.push_back(item.down_until > now_ ? 0.0 : item.weight);
         }
