Drop blamed parts that have not crashed for long

The table of blamed parts holds 64. Parts that other daemons had told stayed in it after their ten minutes, so that 64 of them kept any new part from being blamed (test: fails without this change). Found when reading the change; no caller has met it.

--- a/src/libdispatch/include/medlarstall/dispatch/crashing_parts.hpp
+++ b/src/libdispatch/include/medlarstall/dispatch/crashing_parts.hpp
@@ -140,6 +140,7 @@
     void announce_sound(std::uint64_t part, time_point now);
     void add_blame(std::uint64_t part, blame_state const& state);
     void release(std::uint64_t part, time_point now);
+    void release_expired(time_point now);
     void reassess(time_point now);
 
     std::deque<server_crash> crashes_;
--- a/src/libdispatch/src/crashing_parts.cpp
+++ b/src/libdispatch/src/crashing_parts.cpp
@@ -168,8 +168,22 @@
     }
 }
 
+void crashing_parts::release_expired(time_point now)
+{
+    std::vector<std::uint64_t> expired;
+    for (auto const& [part, state] : blamed_) {
+        if (now - state.last_crash >= memory) {
+            expired.push_back(part);
+        }
+    }
+    for (auto const part : expired) {
+        release(part, now);
+    }
+}
+
 void crashing_parts::update(time_point now)
 {
+    release_expired(now);
     if (!changed_ || now - assessed_at_ < assessment_interval) {
         return;
     }
--- a/tests/libdispatch/crashing_parts_simulation_test.cpp
+++ b/tests/libdispatch/crashing_parts_simulation_test.cpp
@@ -392,4 +392,24 @@
     }
 }
 
+// The table of blamed parts was full of parts that had not crashed for long.
+BOOST_AUTO_TEST_CASE(old_blames_keep_a_new_part_from_being_blamed)
+{
+    constexpr std::uint64_t told_parts = 80;
+    constexpr std::uint64_t crashes = 3;
+    crashing_parts tracked;
+    auto now = start;
+    for (std::uint64_t part = 1; part <= told_parts; ++part) {
+        tracked.merge_blame({part, crashes, 0ms}, now);
+    }
+    now += 11min;
+    for (std::uint64_t crash = 1; crash <= crashes; ++crash) {
+        now += 1s;
+        tracked.on_crash(crash, {bad_part}, now, now);
+    }
+    tracked.update(now);
+    BOOST_TEST(tracked.find_blamed({bad_part}, now).has_value());
+    BOOST_TEST(tracked.blamed(now).size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
