--- a/src/libdispatch/include/medlarstall/dispatch/crashing_parts.hpp
+++ b/src/libdispatch/include/medlarstall/dispatch/crashing_parts.hpp
@@ -137,6 +137,8 @@
     std::optional<time_point> last_success(std::uint64_t part) const;
     void remember_success(std::uint64_t part, time_point at);
     bool in_any_crash(std::uint64_t part) const;
+    bool is_explained(std::uint64_t part,
+                      std::vector<part_blame> const& by) const;
     void announce_sound(std::uint64_t part, time_point now);
     void add_blame(std::uint64_t part, blame_state const& state);
     void release(std::uint64_t part, time_point now);
--- a/src/libdispatch/src/crashing_parts.cpp
+++ b/src/libdispatch/src/crashing_parts.cpp
@@ -192,7 +192,21 @@
     reassess(now);
 }
 
-/// Blames what explains the known crashes, and releases what does not any more.
+/// \return true if other parts explain all known crashes of a part
+bool crashing_parts::is_explained(std::uint64_t part,
+                                  std::vector<part_blame> const& by) const
+{
+    return std::ranges::all_of(crashes_, [&](server_crash const& crash) {
+        return !crash.parts.contains(part) ||
+               std::ranges::any_of(by, [&](part_blame const& other) {
+                   return other.part != part &&
+                          crash.parts.contains(other.part);
+               });
+    });
+}
+
+/// Blames what explains the known crashes, and releases what other parts
+/// explain. A part whose crashes are forgotten for newer ones stays blamed.
 void crashing_parts::reassess(time_point now)
 {
     std::erase_if(crashes_, [now](server_crash const& crash) {
@@ -207,9 +221,7 @@
         known, [this](std::uint64_t part) { return last_success(part); });
     std::vector<std::uint64_t> released;
     for (auto const& [part, state] : blamed_) {
-        auto const confirmed =
-            std::ranges::find(found, part, &part_blame::part);
-        if (confirmed == found.end() && !state.told) {
+        if (!state.told && in_any_crash(part) && is_explained(part, found)) {
             released.push_back(part);
         }
     }
--- a/tests/libdispatch/crashing_parts_simulation_test.cpp
+++ b/tests/libdispatch/crashing_parts_simulation_test.cpp
@@ -412,4 +412,21 @@
     BOOST_TEST(tracked.blamed(now).size() == 1U);
 }
 
+// A part was released once the crashes that it explains were forgotten.
+BOOST_AUTO_TEST_CASE(many_other_crashes_release_the_crashing_part)
+{
+    constexpr std::uint64_t crashes = 3;
+    constexpr std::uint64_t other_crashes = 200;
+    crashing_parts tracked;
+    auto now = start;
+    for (std::uint64_t crash = 1; crash <= crashes + other_crashes; ++crash) {
+        now += 1s;
+        auto const part = crash <= crashes ? bad_part : 1000 + crash;
+        tracked.on_crash(crash, {part}, now, now);
+        tracked.update(now);
+    }
+    BOOST_TEST(tracked.find_blamed({bad_part}, now).has_value());
+    BOOST_TEST(tracked.blamed(now).size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
