Scale hashes to a fraction in one place

The retry budget had added a third copy of the scaling of a hash to the range 0 to 1, beside those of the choice of a server and of the rate permits. One function now serves the three; no value changes. libdispatch_tests pass; the other programs were not run again after this commit.

--- a/src/libdispatch/src/dispatcher.cpp
+++ b/src/libdispatch/src/dispatcher.cpp
@@ -1,5 +1,7 @@
 #include <medlarstall/dispatch/dispatcher.hpp>
 
+#include "unit_fraction.hpp"
+
 #include <medlarstall/support/digest.hpp>
 
 #include <algorithm>
@@ -442,9 +444,7 @@
     if (found != retry_budgets_.end()) {
         return found->second;
     }
-    constexpr double hash_range = 18446744073709551616.0;
-    auto const hash = hash64(service, settings_.start_seed);
-    auto const phase = static_cast<double>(hash) / hash_range;
+    auto const phase = unit_fraction(hash64(service, settings_.start_seed));
     return retry_budgets_
         .emplace(service, retry_budget{phase, settings_.retry_slack_from})
         .first->second;
--- a/src/libdispatch/src/dispatcher_choice.cpp
+++ b/src/libdispatch/src/dispatcher_choice.cpp
@@ -2,6 +2,8 @@
 
 #include <medlarstall/dispatch/dispatcher.hpp>
 
+#include "unit_fraction.hpp"
+
 #include <medlarstall/support/digest.hpp>
 
 #include <algorithm>
@@ -31,14 +33,6 @@
     return value ^ (value >> 29U);
 }
 
-/// \param value a hash
-/// \return the hash scaled to the range 0 to 1; the same at all daemons
-double unit_fraction(std::uint64_t value)
-{
-    constexpr double range = 18446744073709551616.0;
-    return static_cast<double>(value) / range;
-}
-
 } // namespace
 
 /// Divides the backend servers of each service among the cells of the fleet,
--- a/src/libdispatch/src/rate_permits.cpp
+++ b/src/libdispatch/src/rate_permits.cpp
@@ -1,5 +1,7 @@
 #include <medlarstall/dispatch/rate_permits.hpp>
 
+#include "unit_fraction.hpp"
+
 #include <algorithm>
 #include <cmath>
 
@@ -113,9 +115,7 @@
                                    time_point now)
 {
     // The daemons are at different phases, so that they do not send together.
-    constexpr double range = 18446744073709551616.0;
-    auto const phase =
-        static_cast<double>(mix(sharers.own ^ sharers.server)) / range;
+    auto const phase = unit_fraction(mix(sharers.own ^ sharers.server));
     auto const first = std::floor(seconds_of(from) * rate + phase) + 1;
     auto const last = std::floor(seconds_of(at) * rate + phase);
     auto const count = static_cast<std::int64_t>(last - first) + 1;
