--- a/src/libdispatch/include/medlarstall/dispatch/backend_server_entry.hpp
+++ b/src/libdispatch/include/medlarstall/dispatch/backend_server_entry.hpp
@@ -23,6 +23,8 @@
     std::int64_t started_unix_ms = 0;
     /// Increases with each entry that one run of the process publishes.
     std::uint64_t sequence = 0;
+    /// Version of its software, a text without an order.
+    std::string software_version;
 
     bool operator==(backend_server_entry const&) const = default;
 };
--- a/src/libdispatch/include/medlarstall/dispatch/placement.hpp
+++ b/src/libdispatch/include/medlarstall/dispatch/placement.hpp
@@ -38,8 +38,9 @@
 /// The backend server chosen for a request, and the values that led to it.
 struct placement
 {
-    std::string backend_server; ///< Id of the chosen backend server.
-    std::string address;        ///< Its address, in the form IP:PORT.
+    std::string backend_server;   ///< Id of the chosen backend server.
+    std::string address;          ///< Its address, in the form IP:PORT.
+    std::string software_version; ///< As stated by its entry in the list.
     /// Number of backend servers compared.
     std::size_t candidate_count = 0;
     /// Number of backend servers left out to keep to their rate limits.
--- a/src/libdispatch/src/dispatcher_choice.cpp
+++ b/src/libdispatch/src/dispatcher_choice.cpp
@@ -269,6 +269,7 @@
         best = placement{
             listing.entry.id,
             listing.entry.address,
+            listing.entry.software_version,
             0,
             0,
             adjusted_cost,
--- a/src/libgateway/include/medlarstall/gateway/wire_protocol.hpp
+++ b/src/libgateway/include/medlarstall/gateway/wire_protocol.hpp
@@ -22,6 +22,12 @@
     std::optional<std::chrono::milliseconds> time_left;
     std::optional<std::string> api_key; ///< API key of an organisation.
     std::optional<dispatch::prompt> model_prompt; ///< Of a request to a model.
+    /// Id of the last event that the caller has of a stream that it takes up
+    /// again; empty for a new request.
+    std::optional<std::string> resume_after;
+    /// Id of the attempt that brought the first event of that stream; empty if
+    /// the caller does not state it.
+    std::string resumed_attempt;
 };
 
 /// What the gateway adds to a request that it sends to a backend server.
--- a/src/libgateway/src/forwarded_request.cpp
+++ b/src/libgateway/src/forwarded_request.cpp
@@ -285,6 +285,7 @@
     log_entry line{context_.log, log_category::success, "send"};
     line.with("id", request_.metadata.attempt_id)
         .with("server", placement.backend_server)
+        .with("version", placement.software_version)
         .with("attempt", send_count_)
         .with("urgency", urgency())
         .with("candidates", placement.candidate_count)
@@ -302,6 +303,12 @@
         .with("entry_age", placement.entry_age)
         .with("waited", now - began_at_)
         .with("left", time_left(now));
+    if (last_event_id_) {
+        line.with("after_event", *last_event_id_);
+    } else if (request_.metadata.resume_after) {
+        line.with("after_event", *request_.metadata.resume_after)
+            .with("resumes", request_.metadata.resumed_attempt);
+    }
     auto const* const limit =
         context_.dispatcher.rate_limit_of(placement.backend_server);
     if (placement.withheld_count > 0) {
