Show that streams are joined from two software versions

Gateways and backend servers of versions v1 and v2 in one service. A stream is cut after two events and continued within its answer, or taken up by its caller at another daemon, after all daemons were killed, after v1 has left, or without anybody knowing it.

Gateways of the fixture can have event loops of their own, so that all of them can be ended at once; the stand-in of a backend server states its version.

--- a/tests/libgateway/gateway_fixture.cpp
+++ b/tests/libgateway/gateway_fixture.cpp
@@ -58,14 +58,25 @@
     settings.first_start = first_start;
     store_addresses.push_back(has_own_store_addresses ? store.add_address()
                                                       : store.address());
+    if (has_own_contexts) {
+        gateway_contexts.push_back(std::make_unique<asio::io_context>(1));
+    }
+    auto& loop = has_own_contexts ? *gateway_contexts.back() : context;
     gateways.push_back(std::make_unique<gateway::gateway>(
-        context, settings,
-        platform::make_translations(context, store_addresses.back()),
+        loop, settings,
+        platform::make_translations(loop, store_addresses.back()),
         null_descriptor));
     BOOST_REQUIRE(!failed(gateways.back()->start()));
     return *gateways.back();
 }
 
+void gateway_fixture::kill_gateways()
+{
+    gateways.clear();
+    gateway_contexts.clear(); // Drops the handlers of all pending operations.
+    store_addresses.clear();
+}
+
 void gateway_fixture::write_configuration(std::uint64_t version,
                                           std::string const& service)
 {
@@ -124,7 +135,15 @@
             return false;
         }
         context.restart();
-        context.run_one_for(std::chrono::milliseconds{50});
+        if (!has_own_contexts) {
+            context.run_one_for(std::chrono::milliseconds{50});
+            continue;
+        }
+        context.run_one_for(std::chrono::milliseconds{1});
+        for (auto const& loop : gateway_contexts) {
+            loop->restart();
+            loop->poll();
+        }
     }
     return true;
 }
@@ -161,6 +180,33 @@
                       std::string const& path, std::string const& id,
                       std::string const& key, std::string const& tokens,
                       std::string const& parts)
+{
+    std::vector<std::pair<std::string, std::string>> fields;
+    if (!tokens.empty()) {
+        fields = {{"X-Token-Count", tokens},
+                  {"X-Model", "m"},
+                  {"X-Prefix-Hash", parts}};
+    }
+    if (!key.empty()) {
+        fields.emplace_back("Authorization", "Token " + key);
+    }
+    return send_call(gateway, method, path, id, fields);
+}
+
+std::shared_ptr<caller_answer> gateway_fixture::send_with_fields(
+    std::size_t gateway, std::string const& method, std::string const& path,
+    std::string const& id,
+    std::vector<std::pair<std::string, std::string>> const& fields)
+{
+    auto all = fields;
+    all.emplace_back("Authorization", "Token key-small");
+    return send_call(gateway, method, path, id, all);
+}
+
+std::shared_ptr<caller_answer> gateway_fixture::send_call(
+    std::size_t gateway, std::string const& method, std::string const& path,
+    std::string const& id,
+    std::vector<std::pair<std::string, std::string>> const& fields)
 {
     auto answer = std::make_shared<caller_answer>();
     auto connection = std::make_shared<http::upstream_connection>(
@@ -171,13 +217,8 @@
     head.headers.add("X-Attempt-Id", id);
     head.headers.add("X-Deadline-Ms", "5000");
     head.headers.add("X-Hold", "not-yours");
-    if (!tokens.empty()) {
-        head.headers.add("X-Token-Count", tokens);
-        head.headers.add("X-Model", "m");
-        head.headers.add("X-Prefix-Hash", parts);
-    }
-    if (!key.empty()) {
-        head.headers.add("Authorization", "Token " + key);
+    for (auto const& [name, value] : fields) {
+        head.headers.add(name, value);
     }
     connection->start_call(
         http::serialize_request(head, method == "POST" ? "body of " + id : ""),
--- a/tests/libgateway/gateway_fixture.hpp
+++ b/tests/libgateway/gateway_fixture.hpp
@@ -12,6 +12,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 /// An answer as received by a caller.
@@ -34,6 +35,9 @@
 struct gateway_fixture
 {
     asio::io_context context{1};
+    /// Event loops of the gateways, if each has one of its own.
+    std::vector<std::unique_ptr<asio::io_context>> gateway_contexts;
+    bool has_own_contexts = false;
     medlarstall::platform_standins::store_standin store{context};
     std::vector<std::unique_ptr<medlarstall::platform_standins::server_standin>>
         servers;
@@ -59,6 +63,10 @@
         std::chrono::milliseconds grace_period = std::chrono::seconds{8},
         std::vector<std::string> seeds = {});
 
+    /// Ends all gateways at once, as a loss of power does. They must have event
+    /// loops of their own.
+    void kill_gateways();
+
     /// Writes a configuration with the routes of the tests to the store.
     /// \param version version of the configuration
     /// \param service service of all routes
@@ -91,6 +99,12 @@
          std::string const& key = "key-small", std::string const& tokens = "",
          std::string const& parts = "");
 
+    /// Sends a request with further header fields, as name and value.
+    std::shared_ptr<caller_answer> send_with_fields(
+        std::size_t gateway, std::string const& method, std::string const& path,
+        std::string const& id,
+        std::vector<std::pair<std::string, std::string>> const& fields);
+
     /// Sends a request and runs the event loop until its answer has ended.
     caller_answer send_and_wait(std::size_t gateway, std::string const& method,
                                 std::string const& path, std::string const& id,
@@ -113,6 +127,12 @@
 
     /// Runs the event loop for a fixed time.
     void run_for(std::chrono::milliseconds span);
+
+private:
+    std::shared_ptr<caller_answer>
+    send_call(std::size_t gateway, std::string const& method,
+              std::string const& path, std::string const& id,
+              std::vector<std::pair<std::string, std::string>> const& fields);
 };
 
 /// Fixture with one gateway that is ready to serve requests.
--- /dev/null
+++ b/tests/libgateway/mixed_versions_test.cpp
@@ -0,0 +1,261 @@
+// Tests whole gateways with backend servers of two software versions in one
+// service. What two versions write does not fit together in one stream.
+
+#include "gateway_fixture.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <memory>
+#include <string>
+
+using namespace medlarstall;
+using namespace std::chrono_literals;
+
+namespace {
+
+using platform_standins::behaviour;
+
+/// Time in which a daemon has written what it must not forget.
+constexpr auto recorded_after = 1500ms;
+
+/// A fleet whose backend servers "i-0", "i-1" and so on run the given versions.
+struct mixed_fleet : gateway_fixture
+{
+    int sent = 0;
+
+    explicit mixed_fleet(std::vector<std::string> const& versions,
+                         std::size_t daemons = 1)
+        : gateway_fixture{versions.size()}
+    {
+        has_own_contexts = true;
+        for (std::size_t at = 0; at < versions.size(); ++at) {
+            servers[at]->run_version(versions[at]);
+            list_server(at, "ready", 2);
+        }
+        write_configuration(1);
+        start(daemons);
+    }
+
+    void start(std::size_t daemons)
+    {
+        add_gateways(daemons);
+        for (std::size_t at = 0; at < daemons; ++at) {
+            BOOST_REQUIRE(wait_until_ready(at));
+        }
+        run_for(recorded_after);
+    }
+
+    /// Ends all daemons at once and starts as many new ones.
+    void restart()
+    {
+        auto const daemons = gateways.size();
+        kill_gateways();
+        first_start = false;
+        start(daemons);
+    }
+
+    /// Starts a stream that breaks off after two events and is not continued
+    /// within the answer.
+    /// \return id of the attempt
+    std::string begin_stream(std::size_t gateway = 0)
+    {
+        auto const id = "begun-" + std::to_string(++sent);
+        behaviour const cut{behaviour::kind::cut, 2};
+        for (auto const& server : servers) {
+            server->script(cut);
+            server->script(cut);
+        }
+        auto const answer = send_and_wait(gateway, "POST", "/resume/x", id);
+        BOOST_TEST(answer.status == 200);
+        BOOST_TEST(answer.broken);
+        for (auto const& server : servers) {
+            server->clear_script();
+        }
+        return id;
+    }
+
+    /// Takes a stream up after its second event.
+    caller_answer take_up(std::size_t gateway, std::string const& attempt)
+    {
+        for (auto const& server : servers) {
+            server->script({behaviour::kind::answer, 4, 4});
+        }
+        auto const id = "taken-up-" + std::to_string(++sent);
+        auto const answer =
+            send_with_fields(gateway, "POST", "/resume/x", id,
+                             {{"Last-Event-Id", "2"}, {"Resumes", attempt}});
+        BOOST_TEST(run_until([&answer] { return answer->ended(); }));
+        for (auto const& server : servers) {
+            server->clear_script();
+        }
+        return *answer;
+    }
+
+    /// \return version that began to run an attempt; empty if none did
+    std::string version_of(std::string const& attempt) const
+    {
+        for (auto const& server : servers) {
+            for (auto const& run : server->runs()) {
+                auto const* const id = run.head.headers.find("X-Attempt-Id");
+                if (id != nullptr && *id == attempt) {
+                    return server->version();
+                }
+            }
+        }
+        return "";
+    }
+
+    std::string last_sent() const { return "taken-up-" + std::to_string(sent); }
+
+    void remove_servers(std::string const& version)
+    {
+        for (std::size_t at = 0; at < servers.size(); ++at) {
+            if (servers[at]->version() == version) {
+                store.put("keyed.servers", servers[at]->id(), std::nullopt);
+            }
+        }
+        run_for(recorded_after);
+    }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(mixed_versions_suite)
+
+// A daemon went on within an answer at whatever backend server it chose.
+BOOST_AUTO_TEST_CASE(an_answer_is_joined_from_two_versions,
+                     *boost::unit_test::disabled())
+{
+    mixed_fleet world{{"v1", "v2"}};
+    for (int round = 0; round < 6; ++round) {
+        for (auto const& server : world.servers) {
+            server->script({behaviour::kind::cut, 2, 4});
+        }
+        auto const answer = world.send_and_wait(
+            0, "POST", "/resume/x", "joined-" + std::to_string(round));
+        BOOST_TEST(answer.broken);
+        BOOST_TEST(answer.body.find("event 3") == std::string::npos);
+        for (auto const& server : world.servers) {
+            server->clear_script();
+        }
+    }
+}
+
+// The rule must not cost the streams that another server can continue.
+BOOST_AUTO_TEST_CASE(an_answer_goes_on_at_another_server_of_its_version,
+                     *boost::unit_test::disabled())
+{
+    mixed_fleet world{{"v1", "v1", "v2", "v2"}};
+    for (int round = 0; round < 4; ++round) {
+        for (auto const& server : world.servers) {
+            server->script({behaviour::kind::cut, 2, 4});
+            server->script({behaviour::kind::cut, 2, 4});
+        }
+        auto const id = "went-on-" + std::to_string(round);
+        auto const answer = world.send_and_wait(0, "POST", "/resume/x", id);
+        BOOST_TEST(answer.complete);
+        BOOST_TEST(answer.body.find("event 4") != std::string::npos);
+        std::string version;
+        for (auto const& server : world.servers) {
+            server->clear_script();
+            for (auto const& run : server->runs()) {
+                if (*run.head.headers.find("X-Attempt-Id") != id) {
+                    continue;
+                }
+                BOOST_TEST((version.empty() || version == server->version()));
+                version = server->version();
+            }
+        }
+    }
+}
+
+// A stream that its caller took up again was sent to whatever was free.
+BOOST_AUTO_TEST_CASE(a_stream_is_taken_up_at_another_version,
+                     *boost::unit_test::disabled())
+{
+    mixed_fleet world{{"v1", "v1", "v2", "v2"}, 2};
+    for (int round = 0; round < 8; ++round) {
+        auto const begun = world.begin_stream(0);
+        auto const answer = world.take_up(1, begun);
+        BOOST_TEST(answer.status == 200);
+        BOOST_TEST(world.version_of(world.last_sent()) ==
+                   world.version_of(begun));
+    }
+}
+
+// After all daemons were killed, nobody knew any more what had begun where.
+BOOST_AUTO_TEST_CASE(streams_are_joined_after_all_daemons_were_killed,
+                     *boost::unit_test::disabled())
+{
+    mixed_fleet world{{"v1", "v1", "v2", "v2"}, 2};
+    std::vector<std::string> begun;
+    for (int round = 0; round < 8; ++round) {
+        begun.push_back(world.begin_stream(round % 2));
+    }
+    world.run_for(recorded_after);
+    world.restart();
+    for (auto const& stream : begun) {
+        auto const answer = world.take_up(0, stream);
+        BOOST_TEST(answer.status == 200);
+        BOOST_TEST(world.version_of(world.last_sent()) ==
+                   world.version_of(stream));
+    }
+}
+
+// "Only one version is listed now" was taken for "only one has served".
+BOOST_AUTO_TEST_CASE(a_stream_is_joined_as_its_version_has_just_left,
+                     *boost::unit_test::disabled())
+{
+    mixed_fleet world{{"v1", "v1"}, 2};
+    std::vector<std::string> begun;
+    for (int round = 0; round < 3; ++round) {
+        begun.push_back(world.begin_stream());
+    }
+    for (int added = 0; added < 2; ++added) {
+        auto const at = world.servers.size();
+        world.servers.push_back(
+            std::make_unique<platform_standins::server_standin>(
+                world.context, "i-" + std::to_string(at)));
+        world.servers.back()->run_version("v2");
+        world.list_server(at, "ready", 1);
+    }
+    world.run_for(recorded_after);
+    world.remove_servers("v1");
+    auto const refused_everywhere = [&] {
+        for (std::size_t gateway = 0; gateway < 2; ++gateway) {
+            for (auto const& stream : begun) {
+                auto const answer = world.take_up(gateway, stream);
+                BOOST_TEST(answer.status == 503);
+                BOOST_TEST(world.version_of(world.last_sent()).empty());
+            }
+        }
+    };
+    refused_everywhere();
+    world.restart();
+    refused_everywhere();
+}
+
+// With one version in service nothing is refused, not even after a kill.
+BOOST_AUTO_TEST_CASE(a_stream_of_the_only_version_is_taken_up)
+{
+    mixed_fleet world{{"v1", "v1", "v1"}, 2};
+    auto const begun = world.begin_stream(0);
+    BOOST_TEST(world.take_up(1, begun).status == 200);
+    world.restart();
+    BOOST_TEST(world.take_up(0, begun).status == 200);
+    BOOST_TEST(world.take_up(1, "unheard-of").status == 200);
+}
+
+// An unknown stream is refused, not guessed, while two versions serve.
+BOOST_AUTO_TEST_CASE(an_unknown_stream_is_sent_to_any_version,
+                     *boost::unit_test::disabled())
+{
+    mixed_fleet world{{"v1", "v2"}};
+    for (int round = 0; round < 3; ++round) {
+        auto const answer = world.take_up(0, "unheard-of");
+        BOOST_TEST(answer.status == 503);
+        BOOST_TEST(world.version_of(world.last_sent()).empty());
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/platform_standins/include/medlarstall/platform_standins/server_standin.hpp
+++ b/tests/platform_standins/include/medlarstall/platform_standins/server_standin.hpp
@@ -65,6 +65,9 @@
     /// \param next what to do
     void script(behaviour const& next) { script_.push_back(next); }
 
+    /// Drops what was set for requests that have not come.
+    void clear_script() { script_.clear(); }
+
     /// Sets a prompt part that crashes it, unless it is the last of a prompt.
     /// \param part id of the part as requests state it
     void crash_on(std::string part) { crashing_part_ = std::move(part); }
@@ -76,6 +79,13 @@
         return crashed_at_;
     }
 
+    /// Sets the version of its software, "v1" at first.
+    /// \param version the version as its entry states it
+    void run_version(std::string version) { version_ = std::move(version); }
+
+    /// \return version of its software
+    [[nodiscard]] std::string const& version() const { return version_; }
+
     /// Says in all answers from now on that it leaves.
     void leave() { leaving_ = true; }
 
@@ -121,6 +131,7 @@
     http::response_head head_for(http::exchange& caller, int status) const;
 
     std::string id_;
+    std::string version_{"v1"};
     http::http_listener listener_;
     std::deque<behaviour> script_;
     std::vector<run_record> runs_;
--- a/tests/platform_standins/src/server_standin.cpp
+++ b/tests/platform_standins/src/server_standin.cpp
@@ -24,7 +24,8 @@
                                   std::uint64_t sequence) const
 {
     return R"({"service":")" + service + R"(","address":")" + address() +
-           R"(","zone":"z","version":"v1","slots":4,"state":")" + state +
+           R"(","zone":"z","version":")" + version_ +
+           R"(","slots":4,"state":")" + state +
            R"(","coldRemainingMs":0,"sequence":)" + std::to_string(sequence) +
            R"(,"born":1700000000000})";
 }
