Play which release may continue a stream in fleets of 5 to 350 daemons

A fleet in virtual time begins, breaks and continues streams while releases come, go and are taken back; daemons are killed, all at once too, cut off, or without the store; the rule is the oracle (none joined, and of the streams taken up at daemons in touch at least half go on).

--- /dev/null
+++ b/tests/libdispatch/stream_origins_test.cpp
@@ -0,0 +1,389 @@
+// Tests from which release a stream may be continued: single cases, and a fleet
+// in virtual time with the rule as oracle.
+
+#include <medlarstall/dispatch/stream_origins.hpp>
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+using namespace medlarstall;
+using namespace medlarstall::dispatch;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr time_point start{std::chrono::hours{1}};
+constexpr auto step = 100ms;
+constexpr auto simulated_time = 120s;
+constexpr auto lifetime = 24s;
+constexpr auto longest_stream = 12s;
+constexpr auto write_interval = 250ms;
+/// Lists of daemons in touch differ by no more than this.
+constexpr auto max_list_lag = 1s;
+
+/// What one simulation plays.
+struct scenario
+{
+    std::size_t daemons = 5;
+    bool kills = false;         ///< Of a third of the daemons.
+    bool kill_all = false;      ///< Of all daemons at once, every 20 s.
+    bool store_outages = false; ///< The store answers nobody for 6 s.
+    bool cuts = false;          ///< Some daemons lose store and peers for 9 s.
+    bool taken_back = false;    ///< A release is replaced by the one before.
+    bool third = false;         ///< A third release comes while two serve.
+    std::uint32_t seed = 1;
+};
+
+/// A fleet that begins, breaks and continues streams of one service.
+class streaming_fleet
+{
+public:
+    explicit streaming_fleet(scenario const& played)
+        : played_{played}, random_{played.seed}
+    {
+        daemons_.resize(played.daemons);
+        for (auto& daemon : daemons_) {
+            boot(daemon, start);
+            daemon.origins->on_first_start();
+            daemon.history_read = true;
+        }
+    }
+
+    void play()
+    {
+        for (now_ = start; now_ < start + simulated_time; now_ += step) {
+            change_releases();
+            disrupt();
+            for (std::size_t at = 0; at < daemons_.size(); ++at) {
+                act(at);
+            }
+            begin_streams();
+            take_up_streams();
+        }
+    }
+
+    int joined = 0;
+    int taken_up = 0; ///< While store and daemon were sound for long.
+    int went_on = 0;
+
+private:
+    struct daemon_state
+    {
+        std::unique_ptr<stream_origins> origins;
+        time_point up_from;
+        time_point cut_until;
+        time_point written_at;
+        std::vector<std::string> list;
+        time_point list_read_at;
+        time_point list_delay;
+        std::uint64_t written = 0;
+        bool history_read = false;
+    };
+    struct broken_stream
+    {
+        std::uint64_t id;
+        std::string version;
+        time_point began_at;
+        time_point taken_up_at;
+    };
+
+    int draw(int below)
+    {
+        return std::uniform_int_distribution<int>{0, below - 1}(random_);
+    }
+
+    void boot(daemon_state& daemon, time_point from)
+    {
+        daemon = {};
+        daemon.origins = std::make_unique<stream_origins>(from);
+        daemon.origins->set_lifetime(lifetime);
+        daemon.up_from = from;
+    }
+
+    void change_releases()
+    {
+        auto const second = (now_ - start) / 1s;
+        std::vector<std::string> next{"a"};
+        if (second >= 30 && second < 45) {
+            next = {"a", "b"};
+        } else if (second >= 45 && second < 80) {
+            next = {"b"};
+        }
+        if (played_.third && second >= 38 && second < 60) {
+            next.emplace_back("c");
+        }
+        if (second >= 80) {
+            next = {played_.taken_back ? "a" : "b"};
+        }
+        serving_ = next;
+    }
+
+    void disrupt()
+    {
+        auto const elapsed = (now_ - start) / step;
+        auto const each = [&](auto span) {
+            return elapsed > 0 && elapsed % (span / step) == 0;
+        };
+        if (played_.store_outages && each(17s)) {
+            store_down_until_ = now_ + 6s;
+        }
+        if (played_.kill_all && each(20s)) {
+            for (auto& daemon : daemons_) {
+                boot(daemon, now_ + 1s + draw(10) * step);
+            }
+        }
+        for (auto& daemon : daemons_) {
+            if (played_.kills && each(7s) && draw(3) == 0) {
+                boot(daemon, now_ + 500ms);
+            }
+            if (played_.cuts && each(13s) && draw(3) == 0) {
+                daemon.cut_until = now_ + 9s;
+            }
+        }
+    }
+
+    bool reaches_store(daemon_state const& daemon) const
+    {
+        return now_ >= store_down_until_ && now_ >= daemon.cut_until;
+    }
+
+    std::vector<stream_origin_record> stored() const
+    {
+        std::vector<stream_origin_record> records;
+        for (auto const& [key, record] : store_) {
+            records.push_back(record);
+        }
+        return records;
+    }
+
+    void act(std::size_t at)
+    {
+        auto& daemon = daemons_[at];
+        if (now_ < daemon.up_from) {
+            return;
+        }
+        auto& origins = *daemon.origins;
+        auto const reaches = reaches_store(daemon);
+        if (reaches) {
+            if (now_ >= daemon.list_delay) {
+                daemon.list = serving_;
+                daemon.list_delay = now_ + draw(max_list_lag / step) * step;
+            }
+            daemon.list_read_at = now_;
+        }
+        for (auto const& version : daemon.list) {
+            origins.on_listed({"s", version}, now_);
+        }
+        if (now_ >= daemon.cut_until) {
+            tell_peers(at);
+        }
+        origins.expire(now_);
+        if (!reaches) {
+            return;
+        }
+        if (!daemon.history_read) {
+            daemon.history_read = true;
+            if (store_.contains(at)) {
+                origins.merge_earlier_run(store_.at(at), now_);
+            }
+            origins.merge_history(stored(), now_);
+        }
+        if (origins.revision() != daemon.written &&
+            now_ - daemon.written_at >= write_interval) {
+            daemon.written_at = now_;
+            daemon.written = origins.revision();
+            store_[at] = origins.own_record(now_);
+        }
+    }
+
+    void tell_peers(std::size_t from)
+    {
+        // A datagram to a few daemons, as cells bound who is told.
+        constexpr std::size_t told_at_once = 4;
+        auto const releases = daemons_[from].origins->mixed_releases(now_);
+        for (std::size_t offset = 1; offset <= told_at_once; ++offset) {
+            auto& daemon = daemons_[(from + offset) % daemons_.size()];
+            if (now_ < daemon.up_from || now_ < daemon.cut_until) {
+                continue;
+            }
+            for (auto const& release : releases) {
+                daemon.origins->on_told(release, now_);
+            }
+        }
+    }
+
+    daemon_state* pick()
+    {
+        auto& daemon = daemons_[static_cast<std::size_t>(
+            draw(static_cast<int>(daemons_.size())))];
+        auto const usable = now_ >= daemon.up_from && !daemon.list.empty();
+        return usable ? &daemon : nullptr;
+    }
+
+    void begin_streams()
+    {
+        auto* const daemon = pick();
+        if (daemon == nullptr) {
+            return;
+        }
+        // A server that has left does not answer, whatever the list says.
+        std::vector<std::string> usable;
+        std::ranges::copy_if(daemon->list, std::back_inserter(usable),
+                             [this](auto const& version) {
+                                 return std::ranges::find(serving_, version) !=
+                                        serving_.end();
+                             });
+        if (usable.empty()) {
+            return;
+        }
+        auto const& version = usable[static_cast<std::size_t>(
+            draw(static_cast<int>(usable.size())))];
+        auto const id = ++last_id_;
+        daemon->origins->on_begun(id, {"s", version}, now_);
+        if (draw(2) == 0) {
+            daemon->origins->on_ended(id, draw(2) == 0, now_);
+        }
+        broken_.push_back({id, version, now_, now_ + 1s + draw(80) * step});
+    }
+
+    bool is_calm(daemon_state const& daemon) const
+    {
+        return !played_.store_outages && !played_.cuts &&
+               now_ - daemon.up_from > 3s;
+    }
+
+    void take_up_streams()
+    {
+        std::erase_if(broken_, [this](broken_stream const& stream) {
+            if (now_ < stream.taken_up_at) {
+                return false;
+            }
+            auto* const daemon = pick();
+            if (daemon != nullptr && now_ - stream.began_at < longest_stream) {
+                take_up(*daemon, stream);
+            }
+            return true;
+        });
+    }
+
+    void take_up(daemon_state& daemon, broken_stream const& stream)
+    {
+        auto const current = now_ - daemon.list_read_at < 750ms;
+        auto origin = daemon.origins->find(stream.id, "s", current, now_);
+        if (origin.evidence == origin_evidence::none && reaches_store(daemon)) {
+            daemon.origins->merge_streams(stored(), now_);
+            origin = daemon.origins->find(stream.id, "s", current, now_);
+        }
+        auto const serves =
+            std::ranges::find(serving_, stream.version) != serving_.end();
+        auto const known = origin.evidence != origin_evidence::none;
+        joined += known && origin.release.version != stream.version ? 1 : 0;
+        if (serves && is_calm(daemon)) {
+            ++taken_up;
+            went_on += known ? 1 : 0;
+        }
+    }
+
+    scenario played_;
+    std::mt19937 random_;
+    time_point now_;
+    std::vector<daemon_state> daemons_;
+    std::map<std::size_t, stream_origin_record> store_;
+    std::vector<std::string> serving_;
+    std::vector<broken_stream> broken_;
+    time_point store_down_until_;
+    std::uint64_t last_id_ = 0;
+};
+
+void check(scenario played)
+{
+    std::uint32_t const seeds = played.daemons > 100 ? 1 : 3;
+    for (played.seed = 1; played.seed <= seeds; ++played.seed) {
+        BOOST_TEST_CONTEXT("daemons " << played.daemons << " seed "
+                                      << played.seed)
+        {
+            streaming_fleet fleet{played};
+            fleet.play();
+            BOOST_TEST(fleet.joined == 0);
+            BOOST_TEST(fleet.went_on * 2 >= fleet.taken_up);
+        }
+    }
+}
+
+software_release const older{"s", "v1"};
+software_release const newer{"s", "v2"};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(stream_origins_suite)
+
+BOOST_AUTO_TEST_CASE(no_stream_is_joined_by_fleets_of_any_size)
+{
+    for (std::size_t const daemons : {5, 30, 118, 350}) {
+        check({.daemons = daemons, .third = true});
+        check({.daemons = daemons, .kills = true, .taken_back = true});
+        check({.daemons = daemons, .kill_all = true, .third = true});
+    }
+}
+
+BOOST_AUTO_TEST_CASE(no_stream_is_joined_by_several_disruptions_at_once)
+{
+    for (std::size_t const daemons : {5, 30}) {
+        check({.daemons = daemons, .kills = true, .store_outages = true});
+        check({.daemons = daemons, .kill_all = true, .cuts = true});
+        check({.daemons = daemons,
+               .kills = true,
+               .kill_all = true,
+               .store_outages = true,
+               .cuts = true,
+               .taken_back = true,
+               .third = true});
+    }
+}
+
+// A daemon that has just started cannot know what served before.
+BOOST_AUTO_TEST_CASE(a_new_daemon_knows_no_only_release)
+{
+    stream_origins origins{start};
+    origins.on_listed(older, start);
+    BOOST_TEST(
+        (origins.find(1, "s", true, start).evidence == origin_evidence::none));
+    origins.merge_history({{{older}, {}}}, start);
+    BOOST_TEST((origins.find(1, "s", true, start).evidence ==
+                origin_evidence::only_release));
+    BOOST_TEST(
+        (origins.find(1, "s", false, start).evidence == origin_evidence::none));
+}
+
+// A release counts for as long as streams that it began may be taken up.
+BOOST_AUTO_TEST_CASE(a_release_counts_after_it_has_left)
+{
+    stream_origins origins{start};
+    origins.on_first_start();
+    origins.set_lifetime(lifetime);
+    origins.on_listed(older, start);
+    origins.on_listed(newer, start + 1s);
+    origins.expire(start + lifetime);
+    BOOST_TEST(origins.is_mixed("s", start + lifetime));
+    origins.on_listed(newer, start + lifetime + 1s);
+    origins.expire(start + lifetime + 1s);
+    BOOST_TEST(!origins.is_mixed("s", start + lifetime + 1s));
+}
+
+// A malformed record must not harm the others.
+BOOST_AUTO_TEST_CASE(a_record_with_an_unknown_release_is_ignored)
+{
+    stream_origins origins{start};
+    origins.merge_streams({{{older}, {{7, 3}, {8, 0}}}}, start);
+    BOOST_TEST(
+        (origins.find(7, "s", true, start).evidence == origin_evidence::none));
+    BOOST_TEST((origins.find(8, "s", true, start).release == older));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
