--- a/tests/libgateway/gateway_fixture.cpp
+++ b/tests/libgateway/gateway_fixture.cpp
@@ -6,7 +6,8 @@
 
 #include <cstdlib>
 
-#include <fcntl.h>
+#include <sys/mman.h>
+#include <sys/stat.h>
 #include <unistd.h>
 
 using namespace medlarstall;
@@ -30,7 +31,7 @@
 }
 
 gateway_fixture::gateway_fixture(std::size_t server_count)
-    : null_descriptor{::open("/dev/null", O_WRONLY | O_CLOEXEC)}
+    : log_descriptor{::memfd_create("gateway-log", MFD_CLOEXEC)}
 {
     for (std::size_t at = 0; at < server_count; ++at) {
         servers.push_back(std::make_unique<platform_standins::server_standin>(
@@ -41,7 +42,7 @@
 
 gateway_fixture::~gateway_fixture()
 {
-    ::close(null_descriptor);
+    ::close(log_descriptor);
 }
 
 gateway::gateway&
@@ -56,8 +57,9 @@
     settings.directory_address = settings.peer_address = any_free_port();
     settings.grace_period = grace_period;
     settings.first_start = first_start;
-    store_addresses.push_back(has_own_store_addresses ? store.add_address()
-                                                      : store.address());
+    store_addresses.push_back(has_own_store_addresses
+                                  ? store.add_address()
+                                  : own_store.value_or(store.address()));
     if (has_own_contexts) {
         gateway_contexts.push_back(std::make_unique<asio::io_context>(1));
     }
@@ -65,7 +67,7 @@
     gateways.push_back(std::make_unique<gateway::gateway>(
         loop, settings,
         platform::make_translations(loop, store_addresses.back()),
-        null_descriptor));
+        log_descriptor));
     BOOST_REQUIRE(!failed(gateways.back()->start()));
     return *gateways.back();
 }
@@ -293,6 +295,15 @@
     }
 }
 
+std::string gateway_fixture::log_text() const
+{
+    struct stat status{};
+    BOOST_REQUIRE(::fstat(log_descriptor, &status) == 0);
+    std::string text(static_cast<std::size_t>(status.st_size), ' ');
+    std::ignore = ::pread(log_descriptor, text.data(), text.size(), 0);
+    return text;
+}
+
 void gateway_fixture::run_for(std::chrono::milliseconds span)
 {
     auto const end = std::chrono::steady_clock::now() + span;
--- a/tests/libgateway/gateway_fixture.hpp
+++ b/tests/libgateway/gateway_fixture.hpp
@@ -11,6 +11,7 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -47,9 +48,12 @@
     /// Where each gateway reaches the store, if each has an address of its own.
     std::vector<asio::ip::tcp::endpoint> store_addresses;
     bool has_own_store_addresses = false;
+    /// Address of the store that gateways are added with, if not of `store`.
+    std::optional<asio::ip::tcp::endpoint> own_store;
     /// Whether gateways that are added start with the whole system.
     bool first_start = true;
-    int null_descriptor = -1;
+    /// Where the gateways write their log lines.
+    int log_descriptor = -1;
 
     /// \param server_count number of backend servers to start and list
     explicit gateway_fixture(std::size_t server_count);
@@ -125,6 +129,9 @@
     /// Starts gateways that find each other through the first three as seeds.
     void add_gateways(std::size_t daemons);
 
+    /// \return all log lines that the gateways have written
+    [[nodiscard]] std::string log_text() const;
+
     /// Runs the event loop for a fixed time.
     void run_for(std::chrono::milliseconds span);
 
