Break off the answer of a server at each place within its head

A further report of the users: a server stopped in the middle of its answer's head and closed, and callers got a 200 with an empty or short body, framed as whole. It cannot happen here: a connection that ends before the empty line after the head is a lost call, whatever the framing. Tried with a head without a length, cut after every third byte, on a route that may be repeated, one that may not, and a stream: no caller got a whole answer. The test stays as a guard; no code is changed.

--- a/tests/libgateway/faulty_servers_test.cpp
+++ b/tests/libgateway/faulty_servers_test.cpp
@@ -131,6 +131,25 @@
     }
 }
 
+// A 200 that breaks off within its head was relayed as a whole, empty answer.
+BOOST_AUTO_TEST_CASE(an_answer_that_breaks_off_within_its_head_looks_whole)
+{
+    // Without a length, so that the end of the connection ends the body.
+    auto const whole = head + "Content-Type: text/event-stream\r\n\r\n";
+    faulty_server_fixture world{{whole, "", {}}};
+    for (std::size_t bytes = 0; bytes + 1 < whole.size(); bytes += 3) {
+        world.faulty_server.set_answer({whole, "", {}, "", bytes});
+        for (auto const* const path : {"/once/a", "/safe/a", "/resume/a"}) {
+            auto const answer = world.send_and_wait(
+                0, "POST", path, "cut-" + std::to_string(bytes));
+            BOOST_TEST_CONTEXT(path << " after " << bytes << " bytes")
+            {
+                BOOST_TEST((answer.broken || answer.status >= 500));
+            }
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(a_stuck_stream_that_sends_some_bytes_is_resumed_elsewhere)
 {
     using kind = platform_standins::behaviour::kind;
--- a/tests/platform_standins/include/medlarstall/platform_standins/raw_server.hpp
+++ b/tests/platform_standins/include/medlarstall/platform_standins/raw_server.hpp
@@ -10,6 +10,7 @@
 #include <cstddef>
 #include <memory>
 #include <string>
+#include <utility>
 
 namespace medlarstall::platform_standins {
 
@@ -21,6 +22,8 @@
     std::chrono::milliseconds interval{0}; ///< Between two of the latter.
     /// Before `first`, unless the request is the first of its connection.
     std::string before_later;
+    /// Closes the connection after so many bytes of `first`, if it has as many.
+    std::size_t close_after = std::string::npos;
 };
 
 /// A backend server in trouble: it answers with bytes that need not be HTTP and
@@ -35,6 +38,10 @@
     /// \return its address as IP:PORT
     [[nodiscard]] std::string address() const;
 
+    /// Sets what it sends from now on.
+    /// \param answer the bytes
+    void set_answer(raw_answer answer) { answer_ = std::move(answer); }
+
     /// \return requests that it has received, health checks aside
     [[nodiscard]] std::size_t requests() const { return requests_; }
 
--- a/tests/platform_standins/src/raw_server.cpp
+++ b/tests/platform_standins/src/raw_server.cpp
@@ -3,6 +3,8 @@
 #include <asio/buffer.hpp>
 #include <asio/write.hpp>
 
+#include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace medlarstall::platform_standins {
@@ -83,8 +85,15 @@
          place = text.find("ID")) {
         text.replace(place, 2, id);
     }
+    auto const breaks_off = answer_.close_after < text.size();
+    text.resize(std::min(text.size(), answer_.close_after));
     std::error_code ignored;
     asio::write(with->socket, asio::buffer(text), ignored);
+    if (breaks_off) {
+        std::ignore = with->socket.shutdown(
+            asio::ip::tcp::socket::shutdown_both, ignored);
+        return;
+    }
     send_again(with);
 }
 
