Accept requests for a part of the grace period only when that is short

Cause: the time in which a stopping daemon accepts requests was 2.9 s whatever the grace period was. With the 8 s of all deployments known the rest is for the requests to end; with 3 s a request is accepted until after all are stopped.

Evidence: late_requests_of_a_stop_are_cut_off (grace period 3 s, a request after 1.6 s) failed before: it ran, and was cut off with no answer. It passes now. With 8 s nothing changes (2.9 s). Ruled out: kept connections, whose late requests are refused with 503 as before.

Why it works: the time to accept is at most three eighths of the grace period.

--- a/src/libgateway/include/medlarstall/gateway/gateway.hpp
+++ b/src/libgateway/include/medlarstall/gateway/gateway.hpp
@@ -19,6 +19,7 @@
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <deque>
@@ -86,7 +87,15 @@
 
 /// Requests read within this time after a stop began are still accepted. Later
 /// ones might not end within the grace period.
-inline constexpr std::chrono::milliseconds stop_accept_period{2900};
+/// \param grace_period time from the stop to the end of the daemon
+/// \return the time
+[[nodiscard]] constexpr std::chrono::milliseconds
+stop_accept_period(std::chrono::milliseconds grace_period)
+{
+    constexpr std::chrono::milliseconds longest{2900};
+    // The rest of the grace period is for the requests to end.
+    return std::min(longest, grace_period * 3 / 8);
+}
 
 /// The gateway of a daemon. Accepts requests, chooses backend servers for them,
 /// forwards them, follows the record store, exchanges state with the other
@@ -119,7 +128,7 @@
     void reject_reload(error const& problem);
 
     /// Stops gracefully: unregisters this daemon, accepts requests only for
-    /// stop_accept_period, and lets those in flight end.
+    /// stop_accept_period(), and lets those in flight end.
     /// \param on_stopped called once when the gateway has stopped
     void stop(std::function<void()> on_stopped);
 
--- a/src/libgateway/src/gateway_requests.cpp
+++ b/src/libgateway/src/gateway_requests.cpp
@@ -121,8 +121,8 @@
         queue_early_request(std::move(caller), request.metadata);
         return;
     }
-    if (stopping_since_ &&
-        caller->read_at() - *stopping_since_ > stop_accept_period) {
+    if (stopping_since_ && caller->read_at() - *stopping_since_ >
+                               stop_accept_period(settings_.grace_period)) {
         refuse_request(*caller, service_unavailable, "stopping",
                        request.metadata.attempt_id);
         return;
--- a/src/libgateway/src/gateway_upkeep.cpp
+++ b/src/libgateway/src/gateway_upkeep.cpp
@@ -306,7 +306,7 @@
     if (elapsed > idle_connection_time) {
         entry_listener_.close_idle(now);
     }
-    if (elapsed > stop_accept_period) {
+    if (elapsed > stop_accept_period(settings_.grace_period)) {
         entry_listener_.close(); // Refused callers try another address at once.
     }
     auto const grace_nearly_over =
