Check paths that are taken for lost, and play them against the truth

What callers would have seen: at a quiet daemon, requests passed on to a peer for as long as two servers of a service were down, although its own paths to the others were sound.

Cause: while its paths are taken for lost a daemon sends nothing itself, and only the servers that had failed were probed, so nothing could show the mistake.

Change: while the paths to a service are taken for lost, one of its servers that has not failed is probed every 300 ms, for its path alone.

--- a/src/libdispatch/include/medlarstall/dispatch/server_paths.hpp
+++ b/src/libdispatch/include/medlarstall/dispatch/server_paths.hpp
@@ -24,6 +24,8 @@
     /// A daemon that had contact within this time, and no failure since,
     /// reaches the service.
     std::chrono::seconds contact_lifetime{60};
+    /// Time between two checks of paths that are taken for lost.
+    std::chrono::milliseconds check_interval{300};
 };
 
 /// What led to the decision whether the paths to a service are lost.
@@ -64,6 +66,19 @@
     [[nodiscard]] path_evidence examine(std::string_view service,
                                         time_point now) const;
 
+    /// While its paths are taken for lost, a daemon sends nothing by which it
+    /// could notice that they are not, so it has to check them.
+    /// \param now current time
+    /// \return services of which one server has to be probed now, best one
+    ///     that has not failed
+    [[nodiscard]] std::vector<std::string> take_due_checks(time_point now);
+
+    /// \param service name of a service
+    /// \param server id of one of its servers
+    /// \return true if the server has failed since the last contact
+    [[nodiscard]] bool has_failed(std::string_view service,
+                                  std::string_view server) const;
+
     /// \param service name of a service
     /// \param since a time in the past
     /// \return true if any of its servers has sent something since then
@@ -81,6 +96,7 @@
         std::optional<time_point> last_contact;
         /// Last failure of each server since then.
         std::map<std::string, time_point, std::less<>> failures;
+        time_point next_check;
     };
 
     std::size_t recent_failures(service_paths const& service,
--- a/src/libdispatch/src/server_paths.cpp
+++ b/src/libdispatch/src/server_paths.cpp
@@ -60,6 +60,25 @@
     return evidence;
 }
 
+std::vector<std::string> server_paths::take_due_checks(time_point now)
+{
+    std::vector<std::string> due;
+    for (auto& [name, service] : services_) {
+        if (now >= service.next_check && examine(name, now).lost) {
+            service.next_check = now + settings_.check_interval;
+            due.push_back(name);
+        }
+    }
+    return due;
+}
+
+bool server_paths::has_failed(std::string_view service,
+                              std::string_view server) const
+{
+    auto const found = services_.find(service);
+    return found != services_.end() && found->second.failures.contains(server);
+}
+
 bool server_paths::had_contact_since(std::string_view service,
                                      time_point since) const
 {
--- a/src/libgateway/include/medlarstall/gateway/gateway.hpp
+++ b/src/libgateway/include/medlarstall/gateway/gateway.hpp
@@ -234,6 +234,8 @@
     find_helper(std::string const& service, std::uint64_t hash,
                 std::vector<std::string> const& excluded) const;
     bool peers_reach(std::string const& service, time_point now) const;
+    void check_lost_paths(time_point now);
+    void check_path(dispatch::backend_server_entry const& entry);
     void note_probe_path(std::string const& id, bool answered, time_point now);
     void report_down(std::string const& id, time_point now);
     void report_held_losses(time_point now);
@@ -266,6 +268,7 @@
         time_point at;
     };
     std::vector<held_loss> held_losses_;
+    std::size_t path_checks_ = 0; ///< Number of checks of lost paths.
     /// What this daemon reads and writes of the records of streams.
     struct origins_exchange
     {
--- a/src/libgateway/src/gateway_paths.cpp
+++ b/src/libgateway/src/gateway_paths.cpp
@@ -18,6 +18,7 @@
 constexpr milliseconds max_helper_silence{1000};
 /// Longest time for which it is open whether a backend server has crashed.
 constexpr milliseconds max_loss_hold{1000};
+constexpr milliseconds path_check_timeout{600};
 
 /// \return ids separated by commas
 std::string join(dispatch::part_ids const& ids)
@@ -75,6 +76,46 @@
         [&](auto const* peer) { return reaches(peer->update, service); });
 }
 
+/// Probes a backend server of each service whose paths are taken for lost, if
+/// possible one that has not failed.
+void gateway::check_lost_paths(time_point now)
+{
+    for (auto const& service : paths_.take_due_checks(now)) {
+        std::vector<dispatch::backend_server_entry const*> candidates;
+        for (auto const& [id, server] : dispatcher_.listed().all()) {
+            if (server.entry.service == service && !server.entry.draining &&
+                !paths_.has_failed(service, id)) {
+                candidates.push_back(&server.entry);
+            }
+        }
+        if (candidates.empty()) {
+            continue; // Those that have failed are probed as they are down.
+        }
+        auto const* const chosen =
+            candidates[++path_checks_ % candidates.size()];
+        if (dispatcher_.try_take_permit(chosen->id, now)) {
+            check_path(*chosen);
+        }
+    }
+}
+
+/// Probes a backend server only for its path; its health stays as it is.
+void gateway::check_path(dispatch::backend_server_entry const& entry)
+{
+    auto const* const service =
+        route_table_ ? route_table_->find_service(entry.service) : nullptr;
+    auto const address = parse_endpoint(entry.address);
+    if (service == nullptr || !address) {
+        return;
+    }
+    send_internal_call(*address, {"GET", service->health_path, {}},
+                       path_check_timeout,
+                       [this, id = entry.id](http::response const& response) {
+                           note_probe_path(id, response.head.status != 0,
+                                           monotonic_clock::now());
+                       });
+}
+
 void gateway::note_probe_path(std::string const& id, bool answered,
                               time_point now)
 {
--- a/src/libgateway/src/gateway_upkeep.cpp
+++ b/src/libgateway/src/gateway_upkeep.cpp
@@ -80,6 +80,7 @@
     });
     check_requests(now);
     dispatcher_.crashes().parts().update(now);
+    check_lost_paths(now);
     report_held_losses(now);
     log_blame_changes(settings_.name);
     refuse_early_requests(early_requests_.take_expired(now));
