Answer at once when peers refuse a request whose paths are lost

A daemon without paths tried up to four of its own servers again after the peers had refused a request, so that the caller heard late what was certain: up to 2.8 s in a silent cut, by the connect timeouts. Seen when reading the code, not by callers. It now asks the next peer that reaches the service, and refuses at once with the peer's Retry-After if there is none; with sound paths to some servers it uses these. a_request_that_the_peer_refuses_is_answered_late: 503 within 0.5 s, not run.

--- a/src/libgateway/src/forwarded_request_peer.cpp
+++ b/src/libgateway/src/forwarded_request_peer.cpp
@@ -93,21 +93,26 @@
     return is_caller_error || head.status == service_unavailable;
 }
 
-/// A peer has not run the request. Another may, or this daemon itself.
+/// A peer has not run the request. Another may, or this daemon itself if only
+/// some of its connections have failed.
 void forwarded_request::on_refused_by_peer()
 {
+    auto const now = monotonic_clock::now();
     auto const wanted = current_send_->requested_pause;
     end_send(dispatch::send_outcome::rejected);
     log_entry{context_.log, log_category::failure, "peer_refused"}
         .with("id", request_.metadata.attempt_id)
         .with("peer", tried_peers_.back())
         .with("back", wanted.value_or(milliseconds{0}))
-        .with("left", time_left(monotonic_clock::now()));
-    if (tried_peers_.size() >= max_peers) {
-        refuse("not_run", wanted.value_or(dispatch::rejected_retry_after));
+        .with("left", time_left(now));
+    if (pass_on(now)) {
         return;
     }
-    choose_server();
+    if (context_.paths.examine(service_, now).lost) {
+        refuse("not_run", wanted.value_or(dispatch::rejected_retry_after));
+    } else {
+        choose_server();
+    }
 }
 
 /// The connection to a peer has failed.
--- a/tests/libgateway/lost_paths_test.cpp
+++ b/tests/libgateway/lost_paths_test.cpp
@@ -7,6 +7,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <chrono>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -195,6 +196,27 @@
     BOOST_TEST(world.succeeded(0, 2) == 6);
 }
 
+// A caller was kept waiting for connections that could not be opened.
+BOOST_AUTO_TEST_CASE(a_request_that_the_peer_refuses_is_answered_late)
+{
+    fleet_with_paths world;
+    for (auto const& path : world.paths[0]) {
+        path->cut();
+    }
+    std::ignore = world.succeeded(0, 2);
+    for (auto const& server : world.servers) {
+        for (int count = 0; count < 4; ++count) {
+            server->script({behaviour::kind::turn_away});
+        }
+    }
+    auto const before = std::chrono::steady_clock::now();
+    auto const answer = world.send_and_wait(0, "POST", "/once/a", "refused");
+    BOOST_TEST(answer.status == 503);
+    BOOST_TEST(answer.retry_after_seconds() > 0);
+    BOOST_TEST((std::chrono::steady_clock::now() - before < 500ms));
+    BOOST_TEST(world.runs_of("refused") == 0);
+}
+
 // A daemon that was cut off uses its own paths again once they are back.
 BOOST_AUTO_TEST_CASE(healed_paths_are_used_again)
 {
