--- a/src/libgateway/include/medlarstall/gateway/gateway.hpp
+++ b/src/libgateway/include/medlarstall/gateway/gateway.hpp
@@ -246,7 +246,7 @@
     void on_origins_read(bool is_history, read_result const& outcome);
     void write_origins(time_point now);
     duration origins_write_interval() const;
-    void remove_origins(std::string const& address);
+    void remove_origins(std::string const& address) const;
     void advance_stop(time_point now);
     void update_gauges();
 
--- a/src/libgateway/src/gateway_origins.cpp
+++ b/src/libgateway/src/gateway_origins.cpp
@@ -74,10 +74,11 @@
     exchange.reading = true;
     exchange.read_at = now;
     auto const is_history = !exchange.history_read;
-    adapter_.store.read_snapshot(record_topic::stream_origins,
-                                 [this, is_history](read_result outcome) {
-                                     on_origins_read(is_history, outcome);
-                                 });
+    adapter_.store.read_snapshot(
+        record_topic::stream_origins,
+        [this, is_history](read_result const& outcome) {
+            on_origins_read(is_history, outcome);
+        });
 }
 
 void gateway::on_origins_read(bool is_history, read_result const& outcome)
@@ -159,7 +160,7 @@
 }
 
 /// Removes the record of a daemon that is gone for good.
-void gateway::remove_origins(std::string const& address)
+void gateway::remove_origins(std::string const& address) const
 {
     adapter_.store.write(record_topic::stream_origins,
                          {address, std::nullopt, 0}, [](bool) {});
--- a/tests/libdispatch/stream_origins_test.cpp
+++ b/tests/libdispatch/stream_origins_test.cpp
@@ -156,6 +156,7 @@
     std::vector<stream_origin_record> stored() const
     {
         std::vector<stream_origin_record> records;
+        records.reserve(store_.size());
         for (auto const& [key, record] : store_) {
             records.push_back(record);
         }
--- a/tests/libgateway/lost_paths_test.cpp
+++ b/tests/libgateway/lost_paths_test.cpp
@@ -159,8 +159,10 @@
     for (auto const& path : world.paths[0]) {
         path->refuse_new();
     }
+    constexpr std::size_t requests = 24;
     std::vector<std::shared_ptr<caller_answer>> answers;
-    for (int count = 0; count < 24; ++count) {
+    answers.reserve(requests);
+    for (std::size_t count = 0; count < requests; ++count) {
         answers.push_back(world.send(0, "POST", "/safe/a",
                                      "beside-" + std::to_string(count)));
     }
@@ -245,6 +247,7 @@
         server->script({behaviour::kind::hold});
     }
     std::vector<std::shared_ptr<caller_answer>> held;
+    held.reserve(server_count);
     for (std::size_t count = 0; count < server_count; ++count) {
         held.push_back(world.send(0, "POST", "/once/a",
                                   "held-" + std::to_string(count), "key-small",
--- a/tests/libgateway/mixed_versions_test.cpp
+++ b/tests/libgateway/mixed_versions_test.cpp
@@ -184,8 +184,10 @@
 BOOST_AUTO_TEST_CASE(streams_are_joined_after_all_daemons_were_killed)
 {
     mixed_fleet world{{"v1", "v1", "v2", "v2"}, 2};
+    constexpr std::size_t streams = 8;
     std::vector<std::string> begun;
-    for (int round = 0; round < 8; ++round) {
+    begun.reserve(streams);
+    for (std::size_t round = 0; round < streams; ++round) {
         begun.push_back(world.begin_stream(round % 2));
     }
     world.run_for(recorded_after);
@@ -202,8 +204,10 @@
 BOOST_AUTO_TEST_CASE(a_stream_is_joined_as_its_version_has_just_left)
 {
     mixed_fleet world{{"v1", "v1"}, 2};
+    constexpr std::size_t streams = 3;
     std::vector<std::string> begun;
-    for (int round = 0; round < 3; ++round) {
+    begun.reserve(streams);
+    for (std::size_t round = 0; round < streams; ++round) {
         begun.push_back(world.begin_stream());
     }
     for (int added = 0; added < 2; ++added) {
