review: show a 503 passed on for an order that has run

A runner's 503 without X-Not-Executed is relayed, and promises the client that its order has not run. The client sends it again, and it runs twice.

--- a/review/lib/runner.py
+++ b/review/lib/runner.py
@@ -34,6 +34,9 @@
         self.events = 40
         self.event_s = 0.05
         self.body_bytes = 800
+        self.failing = None  # Status of a run that fails.
+        self.fail_of_five = 5
+        self.plain_runs = 0
 
     async def start(self, register=True):
         self.state = "ready"
@@ -155,7 +158,7 @@
         attempt = head.header("x-attempt-id")
         after = int(head.header("last-event-id", "0"))
         self.record.add("run", self.name, attempt=attempt, after=after,
-                        version=self.version)
+                        version=self.version, order=head.header("x-order"))
         self.active += 1
         try:
             if target.startswith("/stream"):
@@ -163,6 +166,12 @@
             else:
                 await asyncio.sleep(0.015)
                 await self.wait_if_silent()
+                self.plain_runs += 1
+                if (self.failing is not None and
+                        self.plain_runs % 5 < self.fail_of_five):
+                    writer.write(wire.response(self.failing, headers,
+                                               b"the order was filed\n"))
+                    return
                 body = (attempt.encode() + b".") * (
                     self.body_bytes // (len(attempt) + 1) + 1)
                 writer.write(wire.response(200, headers,
