--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -308,10 +308,10 @@
             case.record.add("verdict", verdict, trouble=int(TROUBLE))
             print(f"rule {verdict} (TROUBLE={int(TROUBLE)})")
             return BROKEN if broken else HELD
-        except (Unable, OSError) as problem:
+        except Exception as problem:  # Any fault of the case itself.
             if case is not None:
-                case.record.add("verdict", "unable", reason=problem)
-            print(f"could not run: {problem}")
+                case.record.add("verdict", "unable", reason=repr(problem))
+            print(f"could not run: {problem!r}")
             return UNABLE
         finally:
             if case is not None:
