--- a/review/2/case.py
+++ b/review/2/case.py
@@ -14,14 +14,15 @@
 from runner import Runner  # noqa: E402
 from store import Store  # noqa: E402
 
-STREAMS = 12
+STREAMS = 36
+NEW_RUNNERS = 2  # One of three runners leaves: a share of 0.33.
 SILENCE_S = 1.4
 MOST_CUT = 3
 
 
 async def scenario(case):
     store = Store()
-    gateways = [case.add_gateway(number) for number in (1, 2)]
+    gateways = [case.add_gateway(number) for number in (1, 2, 3, 4)]
     for gateway in gateways:
         await store.listen(case.store_host(gateway), harness.STORE_PORT,
                            gateway.name)
@@ -29,9 +30,13 @@
         [harness.stream_route()], [harness.model_service()]))
     old = Runner(store, case.record, "i-old", "v1", "writers",
                  case.address(11), harness.RUNNER_PORT)
-    new = Runner(store, case.record, "i-new", "v2", "writers",
-                 case.address(12), harness.RUNNER_PORT)
-    await old.start()
+    runners = [old]
+    for number in range(NEW_RUNNERS):
+        runners.append(Runner(store, case.record, f"i-new-{number}", "v2",
+                              "writers", case.address(12 + number),
+                              harness.RUNNER_PORT))
+    for runner in runners:
+        await runner.start()
     for gateway in gateways:
         gateway.start(bootstrap=True)
     await case.wait_ready(gateways)
@@ -46,10 +51,8 @@
                for number in range(STREAMS)]
     streams = [asyncio.create_task(client.run(gateways[0].ip, tries=1))
                for client in clients]
-    # A release: the new runner starts first, then the old one leaves.
-    await asyncio.sleep(0.3)
-    await new.start()
-    await asyncio.sleep(0.4)
+    # The end of a release: the last runner of the old version leaves.
+    await asyncio.sleep(0.7)
     old.remove_entry()
     await asyncio.sleep(0.3)
     if TROUBLE:
@@ -57,7 +60,11 @@
     await asyncio.gather(*streams)
 
     cut = [client for client in clients if not client.complete]
-    case.record.add("streams", STREAMS, cut=len(cut))
+    begun = sum(1 for client in clients
+                if client.events and client.events[0][1] == "v1")
+    case.record.add("streams", STREAMS, begun_by_v1=begun, cut=len(cut))
+    if begun <= MOST_CUT:
+        raise harness.Unable("too few streams began at the old version")
     return len(cut) > MOST_CUT
 
 
