Read the list after a stream is taken up, before it counts as the only version

Cause: "only one version serves" is a statement of absence, true as of a moment. gateway::list_is_current() answered it from list_reachable_, which says what was so at the last tick, before the freeze, or from the positions in updates of peers, which have an age, too.

Ruled out: entries read in time and applied late (nothing was read); records that are not there (they are read only once the answer is "not known").

Change: a stream without a record goes on at the only version only after a read of the list that began after its request. shared_read decides when one begins and whom it serves: one read answers all that wait, reads are ordered by number, as a clock may stand, and their rate falls with the number of daemons (2 ms each).

The simulation of stream_origins now takes up streams with the list as of the request, and has versions that come and go in 2 s.

Why it works: whoever began a stream knew of its version by its entry, which was in the store before the request; a read that began later sees it.

--- a/src/libdispatch/include/medlarstall/dispatch/stream_origins.hpp
+++ b/src/libdispatch/include/medlarstall/dispatch/stream_origins.hpp
@@ -67,7 +67,7 @@
 {
 public:
     /// \param started start of this daemon; it has seen no release before
-    explicit stream_origins(time_point started) : started_{started} {}
+    explicit stream_origins(time_point started) : history_starts_{started} {}
 
     /// Sets for how long a stream can be taken up after its first event.
     /// \param lifetime the longest time
@@ -76,6 +76,12 @@
     /// Called when no daemon of the fleet has run before this one started.
     void on_first_start() { first_start_ = true; }
 
+    /// Called when releases may have begun streams that this daemon has not
+    /// noticed. Until merge_history() or for as long as streams can be taken
+    /// up, it then does not know all releases.
+    /// \param now current time
+    void on_history_lost(time_point now);
+
     /// Called repeatedly while a backend server of the release is listed.
     /// \param release a release that may begin streams
     /// \param now current time
@@ -181,7 +187,7 @@
                             time_point now) const;
     release_times& touch(software_release const& release, time_point now);
 
-    time_point started_;
+    time_point history_starts_; ///< Releases have been noticed since then.
     duration lifetime_ = std::chrono::seconds{30};
     bool first_start_ = false;
     std::map<std::string, service_releases, std::less<>> services_;
--- a/src/libdispatch/src/stream_origins.cpp
+++ b/src/libdispatch/src/stream_origins.cpp
@@ -38,6 +38,15 @@
     return position->second;
 }
 
+void stream_origins::on_history_lost(time_point now)
+{
+    first_start_ = false;
+    history_starts_ = now;
+    for (auto& [name, service] : services_) {
+        service.history_known = false;
+    }
+}
+
 void stream_origins::on_listed(software_release const& release, time_point now)
 {
     touch(release, now).listed = now;
@@ -116,7 +125,8 @@
 bool stream_origins::knows_all_releases(service_releases const& service,
                                         time_point now) const
 {
-    return first_start_ || service.history_known || now - started_ >= lifetime_;
+    return first_start_ || service.history_known ||
+           now - history_starts_ >= lifetime_;
 }
 
 stream_origin stream_origins::find(std::optional<std::uint64_t> id,
--- a/src/libgateway/include/medlarstall/gateway/forwarded_request.hpp
+++ b/src/libgateway/include/medlarstall/gateway/forwarded_request.hpp
@@ -10,6 +10,7 @@
 #include <medlarstall/gateway/event_splitter.hpp>
 #include <medlarstall/gateway/gateway_metrics.hpp>
 #include <medlarstall/gateway/peer_update.hpp>
+#include <medlarstall/gateway/shared_read.hpp>
 #include <medlarstall/gateway/structured_log.hpp>
 #include <medlarstall/gateway/wire_protocol.hpp>
 #include <medlarstall/http/server_connection.hpp>
@@ -62,11 +63,14 @@
                        std::optional<time_point>)>
         on_server_metadata;
     dispatch::stream_origins& origins;
-    /// \return whether no other daemon can know of a release that this daemon
-    ///     does not know
-    std::function<bool()> list_is_current;
-    /// Reads the records of other daemons into `origins`, later.
-    std::function<void()> refresh_origins;
+    /// Reads of the list of backend servers, by which requests wait.
+    shared_read const& list_reads;
+    /// \return whether this daemon knows all releases that had begun streams
+    ///     when the request asked
+    std::function<bool(shared_read::number asked)> list_is_current;
+    /// Reads what this daemon needs to know of the releases of a service,
+    /// later, and then calls retry_origin() of all requests.
+    std::function<void(std::string const& service)> refresh_origins;
     /// Publishes the record of this daemon soon, as a stream has broken off.
     std::function<void()> publish_origins;
     std::string const& daemon_name;
@@ -120,6 +124,10 @@
     /// \param now current time
     void note_suspension(duration suspended, time_point now);
 
+    /// Continues a stream whose release was not known when its caller took it
+    /// up, if it is known now.
+    void retry_origin();
+
     /// Aborts the request. Called when the grace period of the daemon has
     /// ended.
     void stop();
@@ -172,6 +180,8 @@
     void note_path_failure(time_point now);
     bool is_taken_up() const;
     void find_origin();
+    void wait_for_origin();
+    bool may_wait_for_origin(time_point now) const;
     void continue_at(dispatch::stream_origin const& origin);
     void note_origin();
     void end_stream(bool complete);
@@ -252,6 +262,9 @@
     /// Hash of the id of the attempt that brought the first event of the
     /// stream; empty for a stream that is taken up without naming it.
     std::optional<std::uint64_t> stream_id_;
+    /// The read of the list that had begun last when the stream was taken up.
+    shared_read::number list_read_before_ = 0;
+    bool waits_for_origin_ = false;
     /// Release that began the stream and must continue it.
     std::optional<dispatch::software_release> origin_;
     std::uint64_t relayed_events_ = 0;
--- a/src/libgateway/include/medlarstall/gateway/gateway.hpp
+++ b/src/libgateway/include/medlarstall/gateway/gateway.hpp
@@ -10,6 +10,7 @@
 #include <medlarstall/gateway/member_table.hpp>
 #include <medlarstall/gateway/peer_link.hpp>
 #include <medlarstall/gateway/record_follower.hpp>
+#include <medlarstall/gateway/shared_read.hpp>
 #include <medlarstall/gateway/structured_log.hpp>
 #include <medlarstall/gateway/wire_protocol.hpp>
 #include <medlarstall/http/http_listener.hpp>
@@ -239,11 +240,19 @@
     void note_probe_path(std::string const& id, bool answered, time_point now);
     void report_down(std::string const& id, time_point now);
     void report_held_losses(time_point now);
-    bool list_is_current() const;
+    bool list_is_current(shared_read::number asked) const;
+    duration origins_read_interval() const;
+    void refresh_origins(std::string const& service);
+    void read_list(time_point now);
+    void resume_take_ups();
+    void on_list_changes_left_out();
+    void lose_release_history(char const* reason, time_point now);
     void update_origins(time_point now);
     void observe_releases(time_point now);
     void read_origins(time_point now);
-    void on_origins_read(bool is_history, read_result const& outcome);
+    void on_origins_read(shared_read::number number,
+                         read_result const& outcome);
+    void merge_origins(record_page const& page, bool is_history);
     void write_origins(time_point now);
     duration origins_write_interval() const;
     void remove_origins(std::string const& address) const;
@@ -274,12 +283,15 @@
     {
         std::uint64_t written_revision = 0;
         time_point written_at;
-        time_point read_at;
         time_point releases_observed_at;
-        bool reading = false;
+        shared_read list_reads;   ///< Of the list of backend servers.
+        shared_read record_reads; ///< Of the records of all daemons.
         bool writing = false;
-        bool history_read = false; ///< Records of before the start.
-        bool urgent = false;       ///< A stream has broken off.
+        /// Records of the time that this daemon has not seen itself.
+        bool history_read = false;
+        /// Reads of records up to this one began before the history was lost.
+        shared_read::number history_lost_after = 0;
+        bool urgent = false; ///< A stream has broken off.
         /// The store may have lost what was written.
         bool rewrite = false;
     };
--- a/src/libgateway/include/medlarstall/gateway/record_follower.hpp
+++ b/src/libgateway/include/medlarstall/gateway/record_follower.hpp
@@ -50,6 +50,10 @@
     /// Called with the new era when the store was restored from an older copy,
     /// before any record of that era is reported.
     std::function<void(std::uint64_t era)> on_restore;
+    /// Called before records are applied that may leave out changes in between:
+    /// a snapshot, or the latest records of a peer. Not called for the first
+    /// records. May be empty.
+    std::function<void()> on_changes_left_out;
     /// Called when the store becomes reachable or unreachable, with the reason
     /// as a word for log lines.
     std::function<void(bool, char const*)> on_reachability;
@@ -83,6 +87,15 @@
     /// Reads without waiting for the timer if the last read failed.
     void retry_now();
 
+    /// Reads from the store, beside the continuous reads, what it has when it
+    /// answers.
+    /// \param done called once with true when all records up to the end have
+    ///     been reported to the owner, or with false if the read has failed
+    void read_to_end(std::function<void(bool)> done);
+
+    /// Drops the belief that the store is reachable, until it answers again.
+    void doubt_store() { reachable_ = false; }
+
     /// Sets whether this daemon is a continuous reader of the store. The other
     /// daemons receive records from the continuous readers, and read the store
     /// themselves only at long intervals.
@@ -130,6 +143,12 @@
     /// \return true if the store answered the last read
     [[nodiscard]] bool store_reachable() const { return reachable_; }
 
+    /// \return true if the last continuous read has failed
+    [[nodiscard]] bool is_backing_off() const
+    {
+        return continuous_ && backing_off_;
+    }
+
     /// \return true if this daemon is a continuous reader and the store
     ///     answers, so that it would notice an outage
     [[nodiscard]] bool reads_store() const { return continuous_ && reachable_; }
@@ -137,9 +156,16 @@
     /// \return when the topic was last known to be up to date
     [[nodiscard]] time_point up_to_date_at() const { return up_to_date_at_; }
 
+    /// \return when the store last answered a read of all changes
+    [[nodiscard]] time_point store_read_at() const { return store_read_at_; }
+
 private:
     void read();
     void on_read_result(std::uint64_t read_id, read_result outcome);
+    void on_end_read(store_position from, read_result const& outcome,
+                     std::function<void(bool)> const& done);
+    void note_store_read();
+    void note_changes_left_out() const;
     void on_read_failure(store_failure failure);
     void apply_page(record_page const& page);
     void remove_missing_keys(record_page const& page);
@@ -171,6 +197,7 @@
     store_position history_start_; ///< All changes from it on are known.
     std::chrono::milliseconds backoff_;
     time_point up_to_date_at_;
+    time_point store_read_at_;
     std::uint64_t read_id_ = 0;    ///< Identifies the read in progress.
     bool snapshot_needed_ = false; ///< Records were missed.
     bool reachable_ = false;
--- a/src/libgateway/include/medlarstall/gateway/record_store.hpp
+++ b/src/libgateway/include/medlarstall/gateway/record_store.hpp
@@ -52,6 +52,8 @@
     std::uint64_t next_offset = 0; ///< Where to continue reading.
     bool is_snapshot = false;      ///< The page contains every existing key.
     std::uint64_t era = 0;         ///< Era of all offsets of the page.
+    /// The store had no further records when it answered. Peers do not tell.
+    bool reaches_end = false;
 
     /// \return position at which to continue reading
     [[nodiscard]] store_position next_position() const
--- a/src/libgateway/src/forwarded_request.cpp
+++ b/src/libgateway/src/forwarded_request.cpp
@@ -81,6 +81,7 @@
             request_.metadata.model_prompt->shared_part_ids();
     }
     if (is_taken_up()) {
+        list_read_before_ = context_.list_reads.last_begun();
         find_origin();
         return;
     }
--- a/src/libgateway/src/forwarded_request_origin.cpp
+++ b/src/libgateway/src/forwarded_request_origin.cpp
@@ -32,9 +32,37 @@
            request_.metadata.resume_after.has_value();
 }
 
+bool forwarded_request::may_wait_for_origin(time_point now) const
+{
+    auto const max_wait = std::min<duration>(
+        max_record_wait, (deadline_ - began_at_) / record_wait_divisor);
+    return now - began_at_ < max_wait;
+}
+
+void forwarded_request::wait_for_origin()
+{
+    waits_for_origin_ = true;
+    context_.refresh_origins(service_);
+    wait_timer_.expires_after(record_check_interval);
+    wait_timer_.async_wait(
+        [weak = weak_from_this()](std::error_code cancelled) {
+            auto const self = weak.lock();
+            if (self && !cancelled) {
+                self->retry_origin();
+            }
+        });
+}
+
+void forwarded_request::retry_origin()
+{
+    if (waits_for_origin_ && !finished_) {
+        find_origin();
+    }
+}
+
 /// Looks up which release began the stream that the caller takes up. Waits for
-/// the records of other daemons if that is not known, and refuses the request
-/// rather than guess.
+/// a read of the list that began after the request arrived, or for the records
+/// of other daemons, and refuses the request rather than guess.
 void forwarded_request::find_origin()
 {
     auto const now = monotonic_clock::now();
@@ -42,25 +70,16 @@
     if (!attempt.empty()) {
         stream_id_ = hash64(attempt);
     }
-    auto const list_current = context_.list_is_current();
+    auto const list_current = context_.list_is_current(list_read_before_);
     auto const origin =
         context_.origins.find(stream_id_, service_, list_current, now);
-    auto const waited = now - began_at_;
-    auto const max_wait = std::min<duration>(
-        max_record_wait, (deadline_ - began_at_) / record_wait_divisor);
     auto const is_known = origin.evidence != dispatch::origin_evidence::none;
-    if (!is_known && waited < max_wait) {
-        context_.refresh_origins();
-        wait_timer_.expires_after(record_check_interval);
-        wait_timer_.async_wait(
-            [weak = weak_from_this()](std::error_code cancelled) {
-                auto const self = weak.lock();
-                if (self && !cancelled && !self->finished_) {
-                    self->find_origin();
-                }
-            });
+    if (!is_known && may_wait_for_origin(now)) {
+        wait_for_origin();
         return;
     }
+    waits_for_origin_ = false;
+    wait_timer_.cancel();
     context_.metrics.count_state_change(std::string{"stream_origin_"} +
                                         name_of(origin.evidence));
     log_entry{context_.log, log_category::failure, "taken_up"}
@@ -71,7 +90,7 @@
         .with("version", origin.release.version)
         .with("list_current", list_current ? "yes" : "no")
         .with("mixed", context_.origins.is_mixed(service_, now) ? "yes" : "no")
-        .with("waited", waited);
+        .with("waited", now - began_at_);
     count_request();
     if (is_known) {
         continue_at(origin);
--- a/src/libgateway/src/gateway.cpp
+++ b/src/libgateway/src/gateway.cpp
@@ -108,35 +108,37 @@
 
 request_context gateway::make_request_context()
 {
-    return {context_,
-            dispatcher_,
-            pool_,
-            log_,
-            metrics_,
-            adapter_.protocol,
-            [this] { return monotonic_clock::now() - started_at_; },
-            [this] { return servers_follower_->position(); },
-            [this](sent_prompt_parts note, bool urgent) {
-                pending_prompts_.push_back(std::move(note));
-                if (urgent) {
-                    send_peer_update(monotonic_clock::now(), true);
-                }
-            },
-            [this](std::string const& id) { on_server_unreachable(id); },
-            [this](std::string const& id, answer_metadata const& metadata,
-                   std::optional<time_point> sent_at) {
-                on_server_metadata(id, metadata, sent_at);
-            },
-            origins_,
-            [this] { return list_is_current(); },
-            [this] { read_origins(monotonic_clock::now()); },
-            [this] { origins_exchange_.urgent = true; },
-            settings_.name,
-            paths_,
-            [this](std::string const& service, std::uint64_t hash,
-                   std::vector<std::string> const& excluded) {
-                return find_helper(service, hash, excluded);
-            }};
+    return {
+        context_,
+        dispatcher_,
+        pool_,
+        log_,
+        metrics_,
+        adapter_.protocol,
+        [this] { return monotonic_clock::now() - started_at_; },
+        [this] { return servers_follower_->position(); },
+        [this](sent_prompt_parts note, bool urgent) {
+            pending_prompts_.push_back(std::move(note));
+            if (urgent) {
+                send_peer_update(monotonic_clock::now(), true);
+            }
+        },
+        [this](std::string const& id) { on_server_unreachable(id); },
+        [this](std::string const& id, answer_metadata const& metadata,
+               std::optional<time_point> sent_at) {
+            on_server_metadata(id, metadata, sent_at);
+        },
+        origins_,
+        origins_exchange_.list_reads,
+        [this](shared_read::number asked) { return list_is_current(asked); },
+        [this](std::string const& service) { refresh_origins(service); },
+        [this] { origins_exchange_.urgent = true; },
+        settings_.name,
+        paths_,
+        [this](std::string const& service, std::uint64_t hash,
+               std::vector<std::string> const& excluded) {
+            return find_helper(service, hash, excluded);
+        }};
 }
 
 status gateway::open_listeners()
@@ -207,6 +209,11 @@
             events.on_restore = [this, which](std::uint64_t era) {
                 on_store_restored(which, era);
             };
+            if (which == record_topic::backend_servers) {
+                events.on_changes_left_out = [this] {
+                    on_list_changes_left_out();
+                };
+            }
             events.on_reachability = [this, which](bool reachable,
                                                    char const* reason) {
                 on_store_reachable(which, reachable, reason);
@@ -340,6 +347,9 @@
                 .with("reason", error_of(entry).message);
             change = dispatcher_.remove(item.key, now);
         } else {
+            origins_.on_listed(
+                {value_of(entry).service, value_of(entry).software_version},
+                now);
             change = dispatcher_.apply(value_of(entry), now);
         }
     } else {
--- a/src/libgateway/src/gateway_origins.cpp
+++ b/src/libgateway/src/gateway_origins.cpp
@@ -23,22 +23,96 @@
 /// With many daemons each writes more rarely: once in this time for each.
 constexpr milliseconds write_interval_per_daemon{4};
 constexpr milliseconds min_read_interval{150};
+/// With many daemons each reads more rarely: once in this time for each.
+constexpr milliseconds read_interval_per_daemon{2};
+/// A release that comes and goes is listed for at least about this long.
+constexpr milliseconds min_listed_time{1500};
 
 } // namespace
 
-/// \return true if no other daemon can know of a release that this one does
-///     not: it reads the list, or hears from all others and none knows more
-bool gateway::list_is_current() const
+/// \param asked the read that had begun last when the question arose
+/// \return true if no daemon can have begun a stream of a release before the
+///     question that this daemon does not know, as it has read the list since
+bool gateway::list_is_current(shared_read::number asked) const
 {
-    if (list_reachable_) {
-        return true;
+    return origins_exchange_.history_read &&
+           origins_exchange_.list_reads.succeeded_after(asked);
+}
+
+/// \return shortest time between two reads of this daemon, so that all daemons
+///     together keep to a rate that the store bears
+duration gateway::origins_read_interval() const
+{
+    auto const daemons = members_.addresses().size() + 1;
+    return std::max<duration>(min_read_interval,
+                              daemons * read_interval_per_daemon);
+}
+
+/// While several releases may have begun streams, only a record tells which one
+/// began a stream. Otherwise the list tells whether there is only one.
+void gateway::refresh_origins(std::string const& service)
+{
+    auto const now = monotonic_clock::now();
+    if (!origins_exchange_.history_read || origins_.is_mixed(service, now)) {
+        read_origins(now);
+    } else {
+        read_list(now);
+    }
+}
+
+/// Reads the list of backend servers for the requests that wait, unless a read
+/// began just now.
+void gateway::read_list(time_point now)
+{
+    auto const number =
+        origins_exchange_.list_reads.try_begin(now, origins_read_interval());
+    if (!number) {
+        return;
     }
-    auto const live = members_.live_members(monotonic_clock::now());
-    auto const known = servers_follower_->position();
-    return live.size() == members_.addresses().size() &&
-           std::ranges::none_of(live, [known](auto const* peer) {
-               return peer->update.servers > known;
-           });
+    servers_follower_->read_to_end([this, number = *number](bool complete) {
+        auto& reads = origins_exchange_.list_reads;
+        if (complete) {
+            reads.on_success(number);
+        } else {
+            reads.on_failure(number);
+        }
+        metrics_.count_state_change(complete ? "list_read" : "list_unread");
+        resume_take_ups();
+    });
+}
+
+/// Lets the requests that wait look again for what began their streams.
+void gateway::resume_take_ups()
+{
+    auto const requests = requests_;
+    for (auto const& request : requests) {
+        request->retry_origin();
+    }
+}
+
+/// Called before records are applied that tell what is listed, but not what has
+/// been listed meanwhile.
+void gateway::on_list_changes_left_out()
+{
+    auto const now = monotonic_clock::now();
+    auto const followed_until =
+        std::max(servers_follower_->store_read_at(), caught_up_at_);
+    if (now - followed_until > min_listed_time) {
+        lose_release_history("list_unread", now);
+    }
+}
+
+/// Releases may have served without this daemon having noticed. It then knows
+/// as little of the past as after a start.
+void gateway::lose_release_history(char const* reason, time_point now)
+{
+    origins_.on_history_lost(now);
+    origins_exchange_.history_read = false;
+    origins_exchange_.history_lost_after =
+        origins_exchange_.record_reads.last_begun();
+    log_entry{log_, log_category::state_change, "release_history"}
+        .with("known", "no")
+        .with("reason", reason);
 }
 
 void gateway::update_origins(time_point now)
@@ -68,31 +142,38 @@
 void gateway::read_origins(time_point now)
 {
     auto& exchange = origins_exchange_;
-    if (exchange.reading || now - exchange.read_at < min_read_interval) {
+    auto const number =
+        exchange.record_reads.try_begin(now, origins_read_interval());
+    if (!number) {
         return;
     }
-    exchange.reading = true;
-    exchange.read_at = now;
-    auto const is_history = !exchange.history_read;
     adapter_.store.read_snapshot(
         record_topic::stream_origins,
-        [this, is_history](read_result const& outcome) {
-            on_origins_read(is_history, outcome);
+        [this, number = *number](read_result const& outcome) {
+            on_origins_read(number, outcome);
         });
 }
 
-void gateway::on_origins_read(bool is_history, read_result const& outcome)
+void gateway::on_origins_read(shared_read::number number,
+                              read_result const& outcome)
 {
     auto& exchange = origins_exchange_;
-    exchange.reading = false;
-    auto const* const page = std::get_if<record_page>(&outcome);
-    if (page == nullptr) {
-        return;
+    if (auto const* const page = std::get_if<record_page>(&outcome)) {
+        exchange.record_reads.on_success(number);
+        merge_origins(*page, !exchange.history_read &&
+                                 number > exchange.history_lost_after);
+    } else {
+        exchange.record_reads.on_failure(number);
     }
+    resume_take_ups();
+}
+
+void gateway::merge_origins(record_page const& page, bool is_history)
+{
     auto const now = monotonic_clock::now();
     auto const own = format_endpoint(settings_.peer_address);
     std::vector<dispatch::stream_origin_record> records;
-    for (auto const& item : page->records) {
+    for (auto const& item : page.records) {
         auto record = decode_stream_origins(item.value.value_or(""));
         if (failed(record)) {
             log_entry{log_, log_category::failure, "bad_stream_origins"}
@@ -106,7 +187,7 @@
         records.push_back(std::move(value_of(record)));
     }
     if (is_history) {
-        exchange.history_read = true;
+        origins_exchange_.history_read = true;
         origins_.merge_history(records, now);
     } else {
         origins_.merge_streams(records, now);
--- a/src/libgateway/src/gateway_upkeep.cpp
+++ b/src/libgateway/src/gateway_upkeep.cpp
@@ -120,9 +120,11 @@
             std::chrono::duration_cast<duration>(suspended), now);
     }
     pool_.close_all_idle();
-    configuration_follower_->read_now();
-    servers_follower_->read_now();
-    members_follower_->read_now();
+    for (auto const& follower :
+         {configuration_follower_, servers_follower_, members_follower_}) {
+        follower->doubt_store();
+        follower->read_now();
+    }
 }
 
 void gateway::check_requests(time_point now)
--- a/src/libgateway/src/record_follower.cpp
+++ b/src/libgateway/src/record_follower.cpp
@@ -109,10 +109,10 @@
         return;
     }
     backoff_ = settings_.initial_backoff;
-    up_to_date_at_ = monotonic_clock::now();
     set_reachable(true, "answered");
     snapshot_needed_ = snapshot_needed_ && !page.is_snapshot;
     apply_page(page);
+    note_store_read();
     if (!continuous_) {
         schedule_read(settings_.standby_interval);
         return;
@@ -122,6 +122,55 @@
                       : settings_.pause_after_records);
 }
 
+void record_follower::note_store_read()
+{
+    up_to_date_at_ = store_read_at_ = monotonic_clock::now();
+}
+
+void record_follower::read_to_end(std::function<void(bool)> done)
+{
+    auto const from = position();
+    auto handler = [self = shared_from_this(), from,
+                    done = std::move(done)](read_result const& outcome) {
+        self->on_end_read(from, outcome, done);
+    };
+    if (!next_ || snapshot_needed_) {
+        store_.read_snapshot(topic_, std::move(handler));
+    } else {
+        store_.read_from(topic_, from.offset, std::chrono::milliseconds{0},
+                         std::move(handler));
+    }
+}
+
+void record_follower::on_end_read(store_position from,
+                                  read_result const& outcome,
+                                  std::function<void(bool)> const& done)
+{
+    auto const* const page = std::get_if<record_page>(&outcome);
+    auto const offset_lost = page != nullptr
+                                 ? !page->is_snapshot && page->era > from.era
+                                 : std::get<store_failure>(outcome) ==
+                                       store_failure::offset_unavailable;
+    if (offset_lost && next_ && !snapshot_needed_ && !stopped_) {
+        snapshot_needed_ = true;
+        read_to_end(done);
+        return;
+    }
+    if (page == nullptr || offset_lost || stopped_ ||
+        page->era < position().era) {
+        done(false);
+        return;
+    }
+    snapshot_needed_ = snapshot_needed_ && !page->is_snapshot;
+    apply_page(*page);
+    note_store_read();
+    if (!page->reaches_end) {
+        read_to_end(done);
+        return;
+    }
+    done(true);
+}
+
 void record_follower::on_read_failure(store_failure failure)
 {
     if (failure == store_failure::offset_unavailable && next_) {
@@ -143,16 +192,29 @@
         (begins_era && !page.is_snapshot)) {
         return;
     }
+    if (!page.is_snapshot) {
+        note_changes_left_out();
+    }
     up_to_date_at_ = monotonic_clock::now();
     apply_page(page);
 }
 
+void record_follower::note_changes_left_out() const
+{
+    if (next_ && events_.on_changes_left_out) {
+        events_.on_changes_left_out();
+    }
+}
+
 void record_follower::apply_page(record_page const& page)
 {
     auto const known_to = position();
     if (page.is_snapshot && page.next_position() < known_to) {
         return; // The snapshot is older than the known records.
     }
+    if (page.is_snapshot) {
+        note_changes_left_out();
+    }
     if (next_ && page.era > known_to.era) {
         events_.on_restore(page.era);
     }
--- a/tests/libdispatch/stream_origins_test.cpp
+++ b/tests/libdispatch/stream_origins_test.cpp
@@ -37,6 +37,7 @@
     bool cuts = false;          ///< Some daemons lose store and peers for 9 s.
     bool taken_back = false;    ///< A release is replaced by the one before.
     bool third = false;         ///< A third release comes while two serve.
+    bool brief = false;         ///< Releases come every 11 s and go after 2 s.
     std::uint32_t seed = 1;
 };
 
@@ -80,8 +81,8 @@
         time_point cut_until;
         time_point written_at;
         std::vector<std::string> list;
-        time_point list_read_at;
         time_point list_delay;
+        std::size_t log_read_to = 0;
         std::uint64_t written = 0;
         bool history_read = false;
     };
@@ -104,6 +105,7 @@
         daemon.origins = std::make_unique<stream_origins>(from);
         daemon.origins->set_lifetime(lifetime);
         daemon.up_from = from;
+        daemon.log_read_to = listed_log_.size();
     }
 
     void change_releases()
@@ -121,6 +123,13 @@
         if (second >= 80) {
             next = {played_.taken_back ? "a" : "b"};
         }
+        if (played_.brief && second % 11 >= 9) {
+            next.push_back("brief-" + std::to_string(second / 11));
+        }
+        std::ranges::copy_if(
+            next, std::back_inserter(listed_log_), [this](auto const& version) {
+                return std::ranges::find(serving_, version) == serving_.end();
+            });
         serving_ = next;
     }
 
@@ -153,6 +162,19 @@
         return now_ >= store_down_until_ && now_ >= daemon.cut_until;
     }
 
+    /// Reads all changes of the list up to now.
+    void read_list(daemon_state& daemon) const
+    {
+        for (; daemon.log_read_to < listed_log_.size(); ++daemon.log_read_to) {
+            daemon.origins->on_listed({"s", listed_log_[daemon.log_read_to]},
+                                      now_);
+        }
+        for (auto const& version : serving_) {
+            daemon.origins->on_listed({"s", version}, now_);
+        }
+        daemon.list = serving_;
+    }
+
     std::vector<stream_origin_record> stored() const
     {
         std::vector<stream_origin_record> records;
@@ -173,10 +195,9 @@
         auto const reaches = reaches_store(daemon);
         if (reaches) {
             if (now_ >= daemon.list_delay) {
-                daemon.list = serving_;
+                read_list(daemon);
                 daemon.list_delay = now_ + draw(max_list_lag / step) * step;
             }
-            daemon.list_read_at = now_;
         }
         for (auto const& version : daemon.list) {
             origins.on_listed({"s", version}, now_);
@@ -275,7 +296,10 @@
 
     void take_up(daemon_state& daemon, broken_stream const& stream)
     {
-        auto const current = now_ - daemon.list_read_at < 750ms;
+        auto const current = reaches_store(daemon);
+        if (current) {
+            read_list(daemon);
+        }
         auto origin = daemon.origins->find(stream.id, "s", current, now_);
         if (origin.evidence == origin_evidence::none && reaches_store(daemon)) {
             daemon.origins->merge_streams(stored(), now_);
@@ -297,6 +321,7 @@
     std::vector<daemon_state> daemons_;
     std::map<std::size_t, stream_origin_record> store_;
     std::vector<std::string> serving_;
+    std::vector<std::string> listed_log_; ///< Each version that was added.
     std::vector<broken_stream> broken_;
     time_point store_down_until_;
     std::uint64_t last_id_ = 0;
@@ -338,6 +363,10 @@
     for (std::size_t const daemons : {5, 30}) {
         check({.daemons = daemons, .kills = true, .store_outages = true});
         check({.daemons = daemons, .kill_all = true, .cuts = true});
+        check({.daemons = daemons,
+               .store_outages = true,
+               .cuts = true,
+               .brief = true});
         check({.daemons = daemons,
                .kills = true,
                .kill_all = true,
--- a/tests/libgateway/gateway_components_test.cpp
+++ b/tests/libgateway/gateway_components_test.cpp
@@ -2,6 +2,7 @@
 #include <medlarstall/gateway/fetch_scheduler.hpp>
 #include <medlarstall/gateway/member_table.hpp>
 #include <medlarstall/gateway/peer_update.hpp>
+#include <medlarstall/gateway/shared_read.hpp>
 #include <medlarstall/gateway/structured_log.hpp>
 
 #include <boost/test/unit_test.hpp>
@@ -12,6 +13,9 @@
 
 #include <algorithm>
 #include <array>
+#include <map>
+#include <optional>
+#include <random>
 #include <string>
 
 using namespace medlarstall;
@@ -311,4 +315,56 @@
                std::string::npos);
 }
 
+// A read that had begun before a question was taken for an answer to it.
+BOOST_AUTO_TEST_CASE(a_read_answers_a_question_of_after_its_beginning)
+{
+    constexpr int steps = 1000;
+    constexpr auto min_interval = 150ms;
+    for (std::uint32_t seed = 1; seed <= 20; ++seed) {
+        std::mt19937 random{seed};
+        auto const chance = [&random](unsigned in) {
+            return random() % in == 0;
+        };
+        time_point now{1h};
+        int wrong_answers = 0;
+        shared_read reads;
+        std::optional<shared_read::number> running;
+        int running_since = 0;
+        int last_complete_since = -1;
+        time_point last_begun_at;
+        std::map<int, shared_read::number> questions;
+        for (int step = 0; step < steps; ++step) {
+            if (chance(3)) {
+                questions.emplace(step, reads.last_begun());
+            }
+            if (auto const begun = reads.try_begin(now, min_interval)) {
+                BOOST_TEST(!running.has_value());
+                BOOST_TEST((now - last_begun_at >= min_interval));
+                last_begun_at = now;
+                running = begun;
+                running_since = step;
+            } else if (running && chance(4)) {
+                if (chance(5)) {
+                    reads.on_failure(*running);
+                } else {
+                    reads.on_success(*running);
+                    last_complete_since = running_since;
+                }
+                running.reset();
+            }
+            for (auto const& [asked_at, asked] : questions) {
+                auto const answered = last_complete_since >= asked_at;
+                wrong_answers +=
+                    reads.succeeded_after(asked) == answered ? 0 : 1;
+            }
+            std::erase_if(questions, [&](auto const& question) {
+                return reads.succeeded_after(question.second);
+            });
+            now += chance(20) ? 0ms : 40ms; // The clock may stand.
+        }
+        BOOST_TEST(wrong_answers == 0);
+        BOOST_TEST(questions.size() < steps / 10);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/libgateway/gateway_fixture.cpp
+++ b/tests/libgateway/gateway_fixture.cpp
@@ -142,9 +142,11 @@
             continue;
         }
         context.run_one_for(std::chrono::milliseconds{1});
-        for (auto const& loop : gateway_contexts) {
-            loop->restart();
-            loop->poll();
+        for (std::size_t at = 0; at < gateway_contexts.size(); ++at) {
+            if (!frozen.contains(at)) {
+                gateway_contexts[at]->restart();
+                gateway_contexts[at]->poll();
+            }
         }
     }
     return true;
--- a/tests/libgateway/gateway_fixture.hpp
+++ b/tests/libgateway/gateway_fixture.hpp
@@ -12,6 +12,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -39,6 +40,9 @@
     /// Event loops of the gateways, if each has one of its own.
     std::vector<std::unique_ptr<asio::io_context>> gateway_contexts;
     bool has_own_contexts = false;
+    /// Indices of gateways that do not run, as if their machines were frozen.
+    /// They must have event loops of their own.
+    std::set<std::size_t> frozen;
     medlarstall::platform_standins::store_standin store{context};
     std::vector<std::unique_ptr<medlarstall::platform_standins::server_standin>>
         servers;
--- a/tests/libgateway/mixed_versions_test.cpp
+++ b/tests/libgateway/mixed_versions_test.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <map>
 #include <memory>
 #include <string>
 
@@ -28,6 +29,7 @@
         : gateway_fixture{versions.size()}
     {
         has_own_contexts = true;
+        has_own_store_addresses = true;
         for (std::size_t at = 0; at < versions.size(); ++at) {
             servers[at]->run_version(versions[at]);
             list_server(at, "ready", 2);
@@ -74,16 +76,51 @@
         return id;
     }
 
-    /// Takes a stream up after its second event.
-    caller_answer take_up(std::size_t gateway, std::string const& attempt)
+    /// Begins streams that break off until some have begun at a version.
+    /// \return ids of their attempts
+    std::vector<std::string> begin_streams_of(std::string const& version,
+                                              std::size_t count,
+                                              std::size_t gateway = 0)
+    {
+        constexpr int max_tries = 60;
+        std::vector<std::string> begun;
+        for (int tried = 0; tried < max_tries && begun.size() < count;
+             ++tried) {
+            auto const id = begin_stream(gateway);
+            if (version_of(id) == version) {
+                begun.push_back(id);
+            }
+        }
+        BOOST_REQUIRE(begun.size() == count);
+        return begun;
+    }
+
+    /// Starts and lists another backend server.
+    void add_server(std::string const& version)
+    {
+        auto const at = servers.size();
+        servers.push_back(std::make_unique<platform_standins::server_standin>(
+            context, "i-" + std::to_string(at)));
+        servers.back()->run_version(version);
+        list_server(at, "ready", 1);
+    }
+
+    /// Starts to take a stream up after its second event.
+    std::shared_ptr<caller_answer> start_take_up(std::size_t gateway,
+                                                 std::string const& attempt)
     {
         for (auto const& server : servers) {
             server->script({behaviour::kind::answer, 4, 4});
         }
         auto const id = "taken-up-" + std::to_string(++sent);
-        auto const answer =
-            send_with_fields(gateway, "POST", "/resume/x", id,
-                             {{"Last-Event-Id", "2"}, {"Resumes", attempt}});
+        return send_with_fields(gateway, "POST", "/resume/x", id,
+                                {{"Last-Event-Id", "2"}, {"Resumes", attempt}});
+    }
+
+    /// Takes a stream up after its second event.
+    caller_answer take_up(std::size_t gateway, std::string const& attempt)
+    {
+        auto const answer = start_take_up(gateway, attempt);
         BOOST_TEST(run_until([&answer] { return answer->ended(); }));
         for (auto const& server : servers) {
             server->clear_script();
@@ -210,14 +247,8 @@
     for (std::size_t round = 0; round < streams; ++round) {
         begun.push_back(world.begin_stream());
     }
-    for (int added = 0; added < 2; ++added) {
-        auto const at = world.servers.size();
-        world.servers.push_back(
-            std::make_unique<platform_standins::server_standin>(
-                world.context, "i-" + std::to_string(at)));
-        world.servers.back()->run_version("v2");
-        world.list_server(at, "ready", 1);
-    }
+    world.add_server("v2");
+    world.add_server("v2");
     world.run_for(recorded_after);
     world.remove_servers("v1");
     auto const refused_everywhere = [&] {
@@ -256,4 +287,49 @@
     }
 }
 
+/// Freezes a daemon while another one starts and a version joins, and lets
+/// callers take streams of that version up there as it wakes.
+/// \param store_answers whether the store answers the daemon that wakes
+/// \param expected_status status of the answers
+void check_woken_daemon(bool store_answers, int expected_status)
+{
+    mixed_fleet world{{"v1", "v1"}, 1};
+    // After a record the next read begins a little later.
+    world.list_server(0, "ready", 3);
+    world.run_for(100ms);
+    world.frozen.insert(0);
+    world.add_gateway();
+    BOOST_REQUIRE(world.wait_until_ready(1));
+    world.add_server("v2");
+    world.run_for(recorded_after);
+    std::map<std::string, std::shared_ptr<caller_answer>> taken_up;
+    for (auto const& begun : world.begin_streams_of("v2", 4, 1)) {
+        auto const answer = world.start_take_up(0, begun);
+        taken_up.emplace(world.last_sent(), answer);
+    }
+    world.run_for(100ms);
+    if (!store_answers) {
+        world.store.silence(world.store_addresses[0]);
+    }
+    world.frozen.clear();
+    for (auto const& [id, answer] : taken_up) {
+        BOOST_TEST(world.run_until([&answer] { return answer->ended(); }));
+        BOOST_TEST(answer->status == expected_status);
+        BOOST_TEST(world.version_of(id) != "v1");
+    }
+}
+
+// A daemon that wakes took the list of before its suspension for the current
+// one, and continued a version that had joined meanwhile at another.
+BOOST_AUTO_TEST_CASE(a_woken_daemon_joins_a_version_that_it_has_not_seen)
+{
+    check_woken_daemon(false, 503);
+}
+
+// The streams that a woken daemon can know of must not be lost.
+BOOST_AUTO_TEST_CASE(a_woken_daemon_continues_what_the_store_knows)
+{
+    check_woken_daemon(true, 200);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
