Believe no absence that peers tell, and hear of members that are missed

Cause: "hears from all others and none knows more" holds for an empty list of members, and that list is as old as the last read of the store.

Ruled out: the grace of 750 ms of the list (reachable=no); updates that are lost on the way (they arrive, and are dropped as from an unlisted sender).

On related paths: an update of an unlisted sender that has read more of the member list makes this daemon read that list, at most every 1.5 s, without trusting its content. Before, the list stayed old until the long poll timed out that the store had lost, up to 26 s. While the store has answered none of two reads in a row, a stream without a record is refused at once.

Why it works: only a read of the store that began after the request shows that no other version serves; a daemon that can't read it says so at once.

--- a/src/libgateway/include/medlarstall/gateway/forwarded_request.hpp
+++ b/src/libgateway/include/medlarstall/gateway/forwarded_request.hpp
@@ -68,6 +68,8 @@
     /// \return whether this daemon knows all releases that had begun streams
     ///     when the request asked
     std::function<bool(shared_read::number asked)> list_is_current;
+    /// \return whether the store has answered none of the last reads
+    std::function<bool()> store_is_away;
     /// Reads what this daemon needs to know of the releases of a service,
     /// later, and then calls retry_origin() of all requests.
     std::function<void(std::string const& service)> refresh_origins;
--- a/src/libgateway/include/medlarstall/gateway/gateway.hpp
+++ b/src/libgateway/include/medlarstall/gateway/gateway.hpp
@@ -220,6 +220,8 @@
     std::vector<dispatch::crash_report> crashes_to_announce(time_point now);
     void log_blame_changes(std::string const& told_by);
     void on_peer_update(std::string const& from, std::string_view bytes);
+    void on_unlisted_sender(std::string const& from, std::string_view bytes,
+                            time_point now);
     void update_cell();
     void remove_lost_members(time_point now);
     bool publishes_all_changes() const;
@@ -241,6 +243,7 @@
     void report_down(std::string const& id, time_point now);
     void report_held_losses(time_point now);
     bool list_is_current(shared_read::number asked) const;
+    bool store_is_away() const;
     duration origins_read_interval() const;
     void refresh_origins(std::string const& service);
     void read_list(time_point now);
@@ -358,6 +361,7 @@
     fetch_scheduler servers_fetches_;
     fetch_scheduler members_fetches_;
     time_point next_member_check_;
+    time_point next_unlisted_check_;
     /// Whether this daemon comes first among the live and ready daemons that it
     /// hears from, in the hash order of the names, and therefore always is a
     /// continuous reader of the store once it has discovered them.
--- a/src/libgateway/include/medlarstall/gateway/record_follower.hpp
+++ b/src/libgateway/include/medlarstall/gateway/record_follower.hpp
@@ -8,6 +8,7 @@
 #include <asio/steady_timer.hpp>
 
 #include <chrono>
+#include <cstddef>
 #include <functional>
 #include <map>
 #include <memory>
@@ -143,11 +144,8 @@
     /// \return true if the store answered the last read
     [[nodiscard]] bool store_reachable() const { return reachable_; }
 
-    /// \return true if the last continuous read has failed
-    [[nodiscard]] bool is_backing_off() const
-    {
-        return continuous_ && backing_off_;
-    }
+    /// \return number of reads that have failed since the store last answered
+    [[nodiscard]] std::size_t failed_reads() const { return failed_reads_; }
 
     /// \return true if this daemon is a continuous reader and the store
     ///     answers, so that it would notice an outage
@@ -199,6 +197,7 @@
     time_point up_to_date_at_;
     time_point store_read_at_;
     std::uint64_t read_id_ = 0;    ///< Identifies the read in progress.
+    std::size_t failed_reads_ = 0; ///< Since the store last answered.
     bool snapshot_needed_ = false; ///< Records were missed.
     bool reachable_ = false;
     bool backing_off_ = false; ///< Waiting to retry after a failed read.
--- a/src/libgateway/src/forwarded_request_origin.cpp
+++ b/src/libgateway/src/forwarded_request_origin.cpp
@@ -36,7 +36,7 @@
 {
     auto const max_wait = std::min<duration>(
         max_record_wait, (deadline_ - began_at_) / record_wait_divisor);
-    return now - began_at_ < max_wait;
+    return now - began_at_ < max_wait && !context_.store_is_away();
 }
 
 void forwarded_request::wait_for_origin()
--- a/src/libgateway/src/gateway.cpp
+++ b/src/libgateway/src/gateway.cpp
@@ -131,6 +131,7 @@
         origins_,
         origins_exchange_.list_reads,
         [this](shared_read::number asked) { return list_is_current(asked); },
+        [this] { return store_is_away(); },
         [this](std::string const& service) { refresh_origins(service); },
         [this] { origins_exchange_.urgent = true; },
         settings_.name,
--- a/src/libgateway/src/gateway_origins.cpp
+++ b/src/libgateway/src/gateway_origins.cpp
@@ -25,6 +25,9 @@
 constexpr milliseconds min_read_interval{150};
 /// With many daemons each reads more rarely: once in this time for each.
 constexpr milliseconds read_interval_per_daemon{2};
+/// Reads that fail one after the other if the store is away. A single one may
+/// have been lost.
+constexpr std::size_t min_failed_reads = 2;
 /// A release that comes and goes is listed for at least about this long.
 constexpr milliseconds min_listed_time{1500};
 
@@ -39,6 +42,13 @@
            origins_exchange_.list_reads.succeeded_after(asked);
 }
 
+/// \return true if the store has answered none of the last reads of the list,
+///     so that waiting for another one serves nobody
+bool gateway::store_is_away() const
+{
+    return servers_follower_->failed_reads() >= min_failed_reads;
+}
+
 /// \return shortest time between two reads of this daemon, so that all daemons
 ///     together keep to a rate that the store bears
 duration gateway::origins_read_interval() const
--- a/src/libgateway/src/gateway_peers.cpp
+++ b/src/libgateway/src/gateway_peers.cpp
@@ -37,6 +37,8 @@
 constexpr milliseconds server_announcement_time{3000};
 /// Crashes are announced repeatedly for this long, since datagrams may be lost.
 constexpr milliseconds crash_announcement_time{700};
+/// Time between two reads of the member list because of unlisted senders.
+constexpr milliseconds unlisted_check_interval{1500};
 /// Daemons that try to read the store while it is unreachable.
 constexpr std::size_t max_reader_candidates = 12;
 
@@ -147,12 +149,37 @@
     pending_prompts_.clear();
 }
 
+/// The update of a sender that is not in the member list is not trusted. But if
+/// it has read more of the member list than this daemon, that is a reason to
+/// read the list again.
+void gateway::on_unlisted_sender(std::string const& from,
+                                 std::string_view bytes, time_point now)
+{
+    if (now < next_unlisted_check_) {
+        return;
+    }
+    auto const decoded = decode_peer_update(bytes);
+    if (failed(decoded) ||
+        value_of(decoded).members <= members_follower_->position()) {
+        return;
+    }
+    next_unlisted_check_ = now + unlisted_check_interval;
+    metrics_.count_state_change("unlisted_sender");
+    log_entry{log_, log_category::state_change, "unlisted_sender"}
+        .with("from", from)
+        .with("offset", members_follower_->position().offset)
+        .with("its_offset", value_of(decoded).members.offset)
+        .with("age", now - members_follower_->up_to_date_at());
+    members_follower_->read_now();
+}
+
 void gateway::on_peer_update(std::string const& from, std::string_view bytes)
 {
+    auto const now = monotonic_clock::now();
     if (!members_.contains(from)) {
-        return; // The sender is not in the member list, thus not trusted.
+        on_unlisted_sender(from, bytes, now);
+        return;
     }
-    auto const now = monotonic_clock::now();
     auto const decoded = decode_peer_update(bytes);
     if (failed(decoded)) {
         log_entry{log_, log_category::failure, "bad_news"}
--- a/src/libgateway/src/record_follower.cpp
+++ b/src/libgateway/src/record_follower.cpp
@@ -125,6 +125,7 @@
 void record_follower::note_store_read()
 {
     up_to_date_at_ = store_read_at_ = monotonic_clock::now();
+    failed_reads_ = 0;
 }
 
 void record_follower::read_to_end(std::function<void(bool)> done)
@@ -174,11 +175,13 @@
 void record_follower::on_read_failure(store_failure failure)
 {
     if (failure == store_failure::offset_unavailable && next_) {
+        failed_reads_ = 0;
         set_reachable(true, "answered");
         snapshot_needed_ = true;
         schedule_read(std::chrono::milliseconds{0});
         return;
     }
+    ++failed_reads_;
     set_reachable(false, name_of(failure));
     backing_off_ = true;
     schedule_read(backoff_);
--- a/tests/libgateway/mixed_versions_test.cpp
+++ b/tests/libgateway/mixed_versions_test.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <chrono>
 #include <map>
 #include <memory>
 #include <string>
@@ -332,4 +333,49 @@
     check_woken_daemon(true, 200);
 }
 
+/// Longer than a daemon waits for the answer to a long poll.
+constexpr auto store_missed_after = 4s;
+
+// A daemon that is cut off from the store and knows of no other daemon took its
+// old list for current, and continued a version that had joined at another.
+BOOST_AUTO_TEST_CASE(a_daemon_without_members_takes_an_old_list_for_current)
+{
+    mixed_fleet world{{"v1", "v1"}, 1};
+    world.store.silence(world.store_addresses[0]);
+    world.run_for(store_missed_after);
+    world.add_gateway();
+    BOOST_REQUIRE(world.wait_until_ready(1));
+    world.add_server("v2");
+    world.run_for(recorded_after);
+    for (auto const& begun : world.begin_streams_of("v2", 4, 1)) {
+        auto const before = std::chrono::steady_clock::now();
+        auto const answer = world.take_up(0, begun);
+        auto const took = std::chrono::steady_clock::now() - before;
+        BOOST_TEST(answer.status == 503);
+        BOOST_TEST((took < 500ms)); // Waiting for the store serves nobody.
+        BOOST_TEST(world.version_of(world.last_sent()).empty());
+    }
+}
+
+// A version that came and went while a daemon was cut off is not in the list
+// that the daemon gets from a peer afterwards.
+BOOST_AUTO_TEST_CASE(a_daemon_is_not_told_of_a_version_that_came_and_went)
+{
+    mixed_fleet world{{"v1", "v1"}, 2};
+    world.store.silence(world.store_addresses[1]);
+    world.frozen.insert(1);
+    world.add_server("v2");
+    world.run_for(recorded_after);
+    auto const begun = world.begin_streams_of("v2", 3);
+    world.remove_servers("v2");
+    world.frozen.clear();
+    world.run_for(1s); // The daemon gets the list from its peer.
+    world.store.answer_again(world.store_addresses[1]);
+    world.run_for(store_missed_after);
+    for (auto const& stream : begun) {
+        std::ignore = world.take_up(1, stream);
+        BOOST_TEST(world.version_of(world.last_sent()) != "v1");
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/platform_standins/include/medlarstall/platform_standins/store_standin.hpp
+++ b/tests/platform_standins/include/medlarstall/platform_standins/store_standin.hpp
@@ -46,6 +46,10 @@
     /// \param address the added address
     void silence(asio::ip::tcp::endpoint const& address);
 
+    /// Answers new calls at an added address again.
+    /// \param address the added address
+    void answer_again(asio::ip::tcp::endpoint const& address);
+
     /// Appends a record as another writer would.
     /// \param topic name of the topic
     /// \param key key of the record
--- a/tests/platform_standins/src/store_standin.cpp
+++ b/tests/platform_standins/src/store_standin.cpp
@@ -81,6 +81,13 @@
     }
 }
 
+void store_standin::answer_again(asio::ip::tcp::endpoint const& address)
+{
+    for (auto const& item : entrances_) {
+        item->silent = item->silent && item->listener->address() != address;
+    }
+}
+
 asio::ip::tcp::endpoint store_standin::address() const
 {
     return listener_.address();
