Find a server that can follow before a silent send is ended

Cause: an order of steps. check_silence() ended the send, took the retry budget, and only then looked for a server that could go on. A server that has left the list has no health record, which counted as down, so that 1.2 s sufficed; one in the list had the same end after 2.4 s.

Ruled out: the bound of a stuck stream (2.4 s); connections that are closed with the entry (reason=silent).

Change: a silent send is ended once a server is known that can go on: of the same version, not down, time left, budget, and no request that crashes servers. A withheld retry is asked for again after 0.5 s. No health record means unknown. What a server error and silence have in common is one function, send_elsewhere().

Tests, on: a_stream_is_cut_as_its_server_that_left_is_silent: check answer->complete has failed a_stream_is_cut_though_no_server_can_go_on_with_it: check answer->complete has failed Both pass with the change.

Why it works: nothing is given up for a successor that is not there. What is gained by leaving a server early is kept where one can follow.

--- a/src/libgateway/include/medlarstall/gateway/forwarded_request.hpp
+++ b/src/libgateway/include/medlarstall/gateway/forwarded_request.hpp
@@ -135,6 +135,10 @@
     void stop();
 
 private:
+    /// With less time left than this, a request is not sent again, and a failed
+    /// answer is relayed.
+    static constexpr std::chrono::milliseconds min_retry_time{40};
+
     /// How the body of the current answer is relayed to the caller.
     enum class relay_mode
     {
@@ -163,6 +167,8 @@
         /// Name of the daemon that the request was passed on to; empty if it
         /// was sent to a backend server.
         std::string peer;
+        /// The retry budget did not allow another send before.
+        time_point no_retry_before;
         /// Time after which a peer that refused it asks the caller to return.
         std::optional<std::chrono::milliseconds> requested_pause;
     };
@@ -217,6 +223,10 @@
     bool take_retry_budget(dispatch::send_failure failure);
     bool can_continue() const;
     bool may_run_elsewhere() const;
+    bool has_successor(time_point now);
+    bool is_crashing(time_point now);
+    void send_elsewhere(char const* reason);
+    void leave_silent_server(time_point now);
     bool may_retry_elsewhere();
     void log_failed_send(char const* reason, dispatch::next_step step);
     void end_send(dispatch::send_outcome outcome);
--- a/src/libgateway/src/forwarded_request_failure.cpp
+++ b/src/libgateway/src/forwarded_request_failure.cpp
@@ -104,6 +104,29 @@
            attempts_.servers_reached + 1 < route.max_attempts;
 }
 
+/// \return true if a backend server that is not known to be down can take the
+///     request over now
+bool forwarded_request::has_successor(time_point now)
+{
+    if (time_left(now) < min_retry_time || is_crashing(now)) {
+        return false;
+    }
+    auto const placement =
+        context_.dispatcher.choose(make_placement_request(), now);
+    return placement && placement->state != dispatch::health::down;
+}
+
+/// Ends a send whose outcome is not known, and sends the request to another
+/// backend server. The retry budget must have allowed it.
+void forwarded_request::send_elsewhere(char const* reason)
+{
+    end_send(dispatch::send_outcome::failed);
+    ++attempts_.servers_reached;
+    attempts_.may_have_run = true;
+    log_failed_send(reason, dispatch::next_step::send_again);
+    choose_server();
+}
+
 void forwarded_request::handle_send_failure(dispatch::send_failure failure,
                                             char const* reason)
 {
@@ -145,16 +168,25 @@
         .with("left", time_left(monotonic_clock::now()));
 }
 
+/// \return true if the request is taken to crash the backend servers that run
+/// it
+bool forwarded_request::is_crashing(time_point now)
+{
+    auto& crashes = context_.dispatcher.crashes();
+    crashes.parts().update(now);
+    return crashes.parts().find_blamed(crash_suspect_.parts, now) ||
+           crashes.is_quarantined(crash_suspect_.request, now);
+}
+
 /// Ends the request if it is taken to crash the backend servers that run it.
 /// \return true if it has ended
 bool forwarded_request::end_if_crashing(time_point now)
 {
-    auto& crashes = context_.dispatcher.crashes();
-    crashes.parts().update(now);
-    auto const blamed = crashes.parts().find_blamed(crash_suspect_.parts, now);
-    if (!blamed && !crashes.is_quarantined(crash_suspect_.request, now)) {
+    if (!is_crashing(now)) {
         return false;
     }
+    auto const blamed = context_.dispatcher.crashes().parts().find_blamed(
+        crash_suspect_.parts, now);
     log_entry line{context_.log, log_category::failure, "crashing"};
     line.with("id", request_.metadata.attempt_id)
         .with("fingerprint", crash_suspect_.request)
--- a/src/libgateway/src/forwarded_request_relay.cpp
+++ b/src/libgateway/src/forwarded_request_relay.cpp
@@ -19,8 +19,6 @@
 /// Unsent bytes to a slow caller above which reading from the backend server is
 /// paused.
 constexpr std::size_t max_unsent_bytes = 131072;
-/// With less time left than this, a failed answer is relayed, not retried.
-constexpr milliseconds min_retry_time{40};
 
 } // namespace
 
@@ -218,11 +216,7 @@
     if (failed && !from_peer && may_retry_elsewhere()) {
         context_.pool.release(current_send_->placement.backend_server,
                               current_send_->connection);
-        end_send(dispatch::send_outcome::failed);
-        ++attempts_.servers_reached;
-        attempts_.may_have_run = true;
-        log_failed_send("server_error", dispatch::next_step::send_again);
-        choose_server();
+        send_elsewhere("server_error");
         return;
     }
     if (current_send_->mode == relay_mode::buffered &&
--- a/src/libgateway/src/forwarded_request_silence.cpp
+++ b/src/libgateway/src/forwarded_request_silence.cpp
@@ -13,6 +13,8 @@
 
 /// Silence of a backend server during a stream that makes it suspicious.
 constexpr milliseconds suspicious_stream_silence{1200};
+/// Time after which a retry that the budget did not allow is asked for again.
+constexpr milliseconds withheld_retry_delay{500};
 
 } // namespace
 
@@ -70,17 +72,32 @@
     if (health != nullptr) {
         health->on_no_data(now);
     }
+    // A server that has left the list has no health record. It is not known to
+    // be down, and may still serve what it has begun.
     auto const down =
-        health == nullptr || health->state() == dispatch::health::down;
+        health != nullptr && health->state() == dispatch::health::down;
     auto const repeatable =
         request_.route->kind == routes::route_kind::idempotent;
     auto const stuck = current_send_->reservation.answer_started &&
                        silence > max_silence_in_stream();
-    if (!may_run_elsewhere() || !(down || repeatable || stuck)) {
+    if (down || repeatable || stuck) {
+        leave_silent_server(now);
+    }
+}
+
+/// Sends the request to another backend server if one can go on with it. The
+/// silent one is all that the caller has otherwise.
+void forwarded_request::leave_silent_server(time_point now)
+{
+    if (!may_run_elsewhere() || now < current_send_->no_retry_before ||
+        !has_successor(now)) {
+        return;
+    }
+    if (!take_retry_budget(dispatch::send_failure::outcome_unknown)) {
+        current_send_->no_retry_before = now + withheld_retry_delay;
         return;
     }
-    end_send(dispatch::send_outcome::failed);
-    handle_send_failure(dispatch::send_failure::outcome_unknown, "silent");
+    send_elsewhere("silent");
 }
 
 } // namespace medlarstall::gateway
--- a/tests/libgateway/leaving_and_paused_servers_test.cpp
+++ b/tests/libgateway/leaving_and_paused_servers_test.cpp
@@ -139,6 +139,55 @@
     BOOST_TEST(reaches(world, 0, 0));
 }
 
+namespace {
+
+/// Later, the removal of an entry is not taken for one that the store has lost
+/// in an outage.
+constexpr auto settled_after = 3s;
+
+/// Begins a stream at the only backend server, which then sends nothing for a
+/// while and ends the stream.
+/// \param silence time between its two events
+/// \param leaves whether its entry is removed after the first event
+void check_silent_stream(std::chrono::milliseconds silence, bool leaves)
+{
+    gateway_fixture world{0};
+    world.write_configuration(1);
+    world.add_gateway();
+    platform_standins::raw_server const server{
+        world.context,
+        {"HTTP/1.1 200 OK\r\nX-Attempt-Id: ID\r\nX-Response-Seal: s\r\n"
+         "Transfer-Encoding: chunked\r\n\r\n"
+         "15\r\nid: 1\ndata: event 1\n\n\r\n",
+         "15\r\nid: 2\ndata: event 2\n\n\r\n0\r\n\r\n", silence}};
+    world.list_raw_server(server);
+    world.run_for(settled_after);
+    auto const answer = world.send(0, "POST", "/resume/a", "id-1");
+    BOOST_REQUIRE(world.run_until([&answer] { return !answer->body.empty(); }));
+    if (leaves) {
+        world.store.put("keyed.servers", "i-raw", std::nullopt);
+    }
+    BOOST_TEST(world.run_until([&answer] { return answer->ended(); }));
+    BOOST_TEST(answer->complete);
+    BOOST_TEST(answer->body.find("event 2") != std::string::npos);
+    BOOST_TEST(server.requests() == 1U);
+}
+
+} // namespace
+
+// A server without an entry was taken for down, and its streams were cut though
+// no other server could go on with them.
+BOOST_AUTO_TEST_CASE(a_stream_is_cut_as_its_server_that_left_is_silent)
+{
+    check_silent_stream(1600ms, true);
+}
+
+// The same, for a server that is in the list, but is silent for longer.
+BOOST_AUTO_TEST_CASE(a_stream_is_cut_though_no_server_can_go_on_with_it)
+{
+    check_silent_stream(2700ms, false);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(paused_servers_suite)
