Test that endless answers to health checks do not fill the memory

Reported by operators of other systems: a faulty server sent bytes without end, the daemon that had called it kept them all, ran out of memory, and the requests of other clients ended with it.

Looked at: every buffer that takes bytes of a server. Head and trailer 64 KiB, an event 1 MiB, an answer that is collected 256 KiB, unsent bytes to a slow caller 128 KiB before reading is paused, a request of the gateway itself and the store 8 MiB. Bodies of 5xx and refusals are not kept. Standing tests have an endless head line, head, row of interim answers, body and event.

Not tried so far: health checks of many servers at once, of which each may keep 8 MiB. The test has twelve servers that answer everything, health checks included, with 64 KiB as fast as loopback takes them, beside a sound caller. Bound: 32 MB, the aim for a daemon.

Not tried: endless answers of a peer and of the store.

Why it holds: a check ends after 0.6 s or 8 MiB, and one loop reads them all.

--- a/tests/libgateway/faulty_servers_test.cpp
+++ b/tests/libgateway/faulty_servers_test.cpp
@@ -7,6 +7,14 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
+#include <fstream>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <unistd.h>
+
 using namespace medlarstall;
 using namespace std::chrono_literals;
 using platform_standins::raw_answer;
@@ -39,6 +47,16 @@
     }
 };
 
+/// \return memory of this process that is in use, in bytes
+std::size_t memory_in_use()
+{
+    std::ifstream file{"/proc/self/statm"};
+    std::size_t all_pages = 0;
+    std::size_t used_pages = 0;
+    file >> all_pages >> used_pages;
+    return used_pages * static_cast<std::size_t>(::sysconf(_SC_PAGESIZE));
+}
+
 std::string const head = "HTTP/1.1 200 OK\r\nX-Attempt-Id: ID\r\n"
                          "X-Response-Seal: s\r\n";
 
@@ -176,4 +194,37 @@
     BOOST_TEST(answer.body.find("event 4") != std::string::npos);
 }
 
+// Reported of other systems: a daemon kept all that faulty servers sent without
+// end, and ran out of memory.
+BOOST_AUTO_TEST_CASE(endless_answers_to_health_checks_fill_the_memory)
+{
+    constexpr std::size_t faulty_servers = 12;
+    constexpr std::size_t max_growth = 32U << 20U; // Bytes; aim for a daemon.
+    gateway_fixture world{1};
+    world.write_configuration(1);
+    world.add_gateway();
+    BOOST_REQUIRE(world.wait_until_ready(0));
+    std::vector<std::unique_ptr<raw_server>> faulty;
+    for (std::size_t at = 0; at < faulty_servers; ++at) {
+        faulty.push_back(std::make_unique<raw_server>(
+            world.context, raw_answer{head + "\r\n",
+                                      std::string(65536, 'b'),
+                                      {},
+                                      "",
+                                      std::string::npos,
+                                      true}));
+        world.list_raw_server(*faulty.back(), "i-raw-" + std::to_string(at));
+    }
+    auto const before = memory_in_use();
+    auto most = before;
+    for (int round = 0; round < 40; ++round) {
+        std::ignore = world.send(0, "POST", "/stream/a",
+                                 "endless-" + std::to_string(round));
+        world.run_for(50ms);
+        most = std::max(most, memory_in_use());
+    }
+    BOOST_TEST(most - before < max_growth);
+    BOOST_TEST(world.send_and_wait(0, "GET", "/safe/a", "sound").status == 200);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/libgateway/gateway_fixture.cpp
+++ b/tests/libgateway/gateway_fixture.cpp
@@ -115,17 +115,17 @@
 }
 
 void gateway_fixture::list_raw_server(
-    platform_standins::raw_server const& server)
+    platform_standins::raw_server const& server, std::string const& id)
 {
-    store.put("keyed.servers", "i-raw",
+    store.put("keyed.servers", id,
               R"({"service":"s","address":")" + server.address() +
                   R"(","zone":"z","version":"v1","slots":4,)"
                   R"("state":"ready","coldRemainingMs":0,"sequence":1,)"
                   R"("born":1700000000000})");
-    BOOST_REQUIRE(run_until([this] {
+    BOOST_REQUIRE(run_until([this, &id] {
         auto const state =
             get(gateways[0]->settings().peer_address, "/v1/status");
-        return state.body.find("i-raw") != std::string::npos;
+        return state.body.find(id) != std::string::npos;
     }));
 }
 
--- a/tests/libgateway/gateway_fixture.hpp
+++ b/tests/libgateway/gateway_fixture.hpp
@@ -88,10 +88,11 @@
     void list_server(std::size_t at, std::string const& state,
                      std::uint64_t sequence);
 
-    /// Writes an entry "i-raw" for a raw server and waits until the first
-    /// gateway has read it.
+    /// Writes an entry for a raw server and waits until the first gateway has
+    /// read it.
     void
-    list_raw_server(medlarstall::platform_standins::raw_server const& server);
+    list_raw_server(medlarstall::platform_standins::raw_server const& server,
+                    std::string const& id = "i-raw");
 
     /// Runs the event loop until a condition holds.
     /// \return false if it does not hold within 20 seconds
--- a/tests/platform_standins/include/medlarstall/platform_standins/raw_server.hpp
+++ b/tests/platform_standins/include/medlarstall/platform_standins/raw_server.hpp
@@ -24,6 +24,8 @@
     std::string before_later;
     /// Closes the connection after so many bytes of `first`, if it has as many.
     std::size_t close_after = std::string::npos;
+    /// Whether health checks get these bytes, too.
+    bool to_health_checks = false;
 };
 
 /// A backend server in trouble: it answers with bytes that need not be HTTP and
--- a/tests/platform_standins/src/raw_server.cpp
+++ b/tests/platform_standins/src/raw_server.cpp
@@ -69,7 +69,7 @@
         return;
     }
     auto const head = std::exchange(with->received, {}).substr(0, end);
-    if (head.starts_with("GET /healthz")) {
+    if (head.starts_with("GET /healthz") && !answer_.to_health_checks) {
         asio::write(with->socket,
                     asio::buffer(std::string{
                         "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"}));
@@ -77,8 +77,11 @@
     }
     ++requests_;
     constexpr std::string_view field = "X-Attempt-Id: ";
-    auto const at = head.find(field) + field.size();
-    auto const id = head.substr(at, head.find('\r', at) - at);
+    auto const at = head.find(field);
+    auto const id = at == std::string::npos
+                        ? std::string{}
+                        : head.substr(at + field.size(),
+                                      head.find('\r', at) - at - field.size());
     auto const later = std::exchange(with->answered, true);
     auto text = (later ? answer_.before_later : "") + answer_.first;
     for (auto place = text.find("ID"); place != std::string::npos;
