Log the start that an entry states, and the age of connections

The log line of a send names the version of an entry, but not of which start of the process the entry tells, nor whether the connection is older than that entry. Change: "send" has entry_started, connection_age and the version that it continues; "backend_server" has version and start. No decision changes.

--- a/src/libdispatch/include/medlarstall/dispatch/placement.hpp
+++ b/src/libdispatch/include/medlarstall/dispatch/placement.hpp
@@ -61,6 +61,8 @@
     double in_flight = 0;      ///< Requests in flight there, as far as known.
     health state = health::up; ///< Its health when it was chosen.
     std::chrono::milliseconds entry_age{0}; ///< Age of its entry in the list.
+    /// Start of its process as stated by that entry; 0 if not stated.
+    std::int64_t entry_started_unix_ms = 0;
 };
 
 /// The load that a request in flight adds to its backend server. Kept with the
--- a/src/libdispatch/src/dispatcher_choice.cpp
+++ b/src/libdispatch/src/dispatcher_choice.cpp
@@ -286,7 +286,8 @@
             evaluated.load.in_flight,
             record.health_tracker.state(),
             std::chrono::duration_cast<std::chrono::milliseconds>(
-                now - listing.updated_at)};
+                now - listing.updated_at),
+            listing.entry.started_unix_ms};
     }
     if (best) {
         best->candidate_count = candidates;
--- a/src/libgateway/include/medlarstall/gateway/forwarded_request.hpp
+++ b/src/libgateway/include/medlarstall/gateway/forwarded_request.hpp
@@ -202,6 +202,7 @@
                              time_point now);
     void send_to(dispatch::placement const& placement);
     void log_send(dispatch::placement const& placement, time_point now);
+    duration connection_age(time_point now) const;
     std::uint32_t urgency() const;
     double urgency_share() const;
     std::string serialise_request(dispatch::placement const& placement) const;
--- a/src/libgateway/src/forwarded_request.cpp
+++ b/src/libgateway/src/forwarded_request.cpp
@@ -297,6 +297,14 @@
                            make_call_events(current_send_->number));
 }
 
+/// \return time since the connection of the current send was opened; -1 if it
+///     is not open yet
+duration forwarded_request::connection_age(time_point now) const
+{
+    auto const opened_at = current_send_->connection->opened_at();
+    return opened_at ? now - *opened_at : duration{milliseconds{-1}};
+}
+
 void forwarded_request::log_send(dispatch::placement const& placement,
                                  time_point now)
 {
@@ -320,8 +328,13 @@
         .with("list_era", list_position.era)
         .with("list", list_position.offset)
         .with("entry_age", placement.entry_age)
+        .with("entry_started", placement.entry_started_unix_ms)
+        .with("connection_age", connection_age(now))
         .with("waited", now - began_at_)
         .with("left", time_left(now));
+    if (origin_) {
+        line.with("continues", origin_->version);
+    }
     if (last_event_id_) {
         line.with("after_event", *last_event_id_);
     } else if (request_.metadata.resume_after) {
--- a/src/libgateway/src/gateway.cpp
+++ b/src/libgateway/src/gateway.cpp
@@ -382,6 +382,8 @@
         .with("change", name_of(change))
         .with("service", entry != nullptr ? entry->service : "")
         .with("address", entry != nullptr ? entry->address : "")
+        .with("version", entry != nullptr ? entry->software_version : "")
+        .with("started", entry != nullptr ? entry->started_unix_ms : 0)
         .with("offset", offset);
 }
 
--- a/src/libhttp/include/medlarstall/http/upstream_connection.hpp
+++ b/src/libhttp/include/medlarstall/http/upstream_connection.hpp
@@ -97,6 +97,12 @@
     /// \return when bytes were last read from the server
     [[nodiscard]] time_point last_activity() const { return last_activity_; }
 
+    /// \return when the connection was established; empty before
+    [[nodiscard]] std::optional<time_point> opened_at() const
+    {
+        return opened_at_;
+    }
+
     /// \return how long the server keeps an idle connection open, from the
     ///     timeout parameter of its Keep-Alive field; empty if it sent none
     [[nodiscard]] std::optional<std::chrono::seconds> keep_alive_timeout() const
@@ -143,6 +149,7 @@
     std::uint64_t call_count_ = 0;
     std::function<void()> closed_while_idle_handler_;
     std::optional<std::chrono::seconds> keep_alive_timeout_;
+    std::optional<time_point> opened_at_;
     time_point last_activity_;
     state state_ = state::unconnected;
     int unmatched_responses_ = 0;
--- a/src/libhttp/src/upstream_connection.cpp
+++ b/src/libhttp/src/upstream_connection.cpp
@@ -100,6 +100,7 @@
         fail(call_failure::not_connected);
         return;
     }
+    opened_at_ = last_activity_ = monotonic_clock::now();
     channel_->set_peer_timeout(server_timeout);
     channel_->start(
         {.received = [this](std::string_view bytes) { on_bytes(bytes); },
