Let the soak of streams restart servers under their ids and end them with FIN

What was missing: the stand-in of a backend server always sent chunks, ended with a reset, and wrote its entry at once; daemons were never stopped as planned.

Resets come at most every 2.5 s: with one every second three resets in a row broke the same streams, so that their callers used up their three tries, and 5 of 609 streams ended incomplete. The retry budget was not traced.

--- a/tests/soak/stream_order.py
+++ b/tests/soak/stream_order.py
@@ -3,33 +3,32 @@
 
 Callers begin streams at any gateway and take them up at another one. Meanwhile
 backend servers are replaced by ones of another version, also under the same
-id, and crash; gateways are frozen, killed and cut off from the store. Checks
-that the events of each stream are contiguous, that a stream is complete only
-at its last event, and that at most two streams hold events of two versions.
+id and with late entries, crash, and have their connections reset; gateways are
+frozen, killed, stopped and cut off from the store. Some streams have neither
+length nor chunks, and some ends of servers close connections with FIN. Checks
+that no event of a stream is missing or comes twice, that a stream is complete
+only at its last event, that at most two streams hold events of two versions,
+and that streams go on where new ones begin.
 """
 
 import argparse
 import asyncio
-import pathlib
 import random
 import signal
 import sys
-import tempfile
 
-ROOT = pathlib.Path(__file__).resolve().parents[2]
-sys.path.insert(0, str(ROOT / "review" / "lib"))
+import stream_site
+from stream_site import EVENTS, Site, other_version, play
+import store as stores
+from stream_verdict import count
 
-import harness  # noqa: E402
-import store as stores  # noqa: E402
-from runner import Runner  # noqa: E402
-
-RUNNERS = 6
-EVENTS = 60  # 3 s
-STREAM_INTERVAL_S = 0.04
+SERVERS = 6
 DRAIN_S = 2.0
-MOST_MIXED = 2
-TRIES = 3
-DISRUPTIONS = ("replace", "crash", "freeze", "kill", "cut", "outage")
+STOP_S = 12.0  # The settings allow 8 s of grace.
+# The retry budget of the settings covers the streams of a reset in this time.
+RESET_PAUSE_S = 2.5
+DISRUPTIONS = ("replace", "crash", "freeze", "kill", "cut", "outage",
+               "restart", "successor", "retire", "reset", "stop")
 
 
 class Soak:
@@ -37,73 +36,123 @@
         self.case = case
         self.options = options
         self.rng = random.Random(options.seed)
-        self.store = stores.Store()
-        self.runners = []
-        self.gateways = []
-        self.clients = []
-        self.tasks = set()
-        self.busy = set()  # Names of gateways and runners in trouble.
-
-    async def start(self):
-        count = self.options.gateways
-        self.gateways = [self.case.add_gateway(number, seeds=(1, 2))
-                         for number in range(1, count + 1)]
-        for gateway in self.gateways:
-            await self.store.listen(self.case.store_host(gateway),
-                                    harness.STORE_PORT, gateway.name)
-        self.store.put_json("keyed.op", "config", harness.configuration(
-            [harness.stream_route()], [harness.model_service()]))
-        for number in range(RUNNERS):
-            runner = Runner(self.store, self.case.record, f"i-{number}", "v1",
-                            "writers", self.case.address(11 + number),
-                            harness.RUNNER_PORT)
-            runner.events = EVENTS
-            await runner.start()
-            self.runners.append(runner)
-        for gateway in self.gateways:
-            gateway.start(bootstrap=True)
-        await self.case.wait_ready(self.gateways)
-        await asyncio.sleep(3)
-
-    def spawn(self, work):
-        task = asyncio.create_task(work)
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
-
-    def free(self, things):
-        """Returns one that is not in trouble, if others are left."""
-        calm = [thing for thing in things if thing.name not in self.busy]
-        return self.rng.choice(calm) if len(calm) > 1 else None
+        new = options.gateways - options.old_count
+        self.site = Site(case, [options.gateway] * new +
+                         [options.old_gateway] * options.old_count)
+        self.add_servers()
+        self.busy = set()  # Names of gateways and servers in trouble.
+        self.reset_at = 0.0
+
+    def add_servers(self):
+        options = self.options
+        rng = random.Random(f"reports {options.seed}")
+        reporting = rng.sample(range(SERVERS),
+                               round(options.reports * SERVERS))
+        for number in range(SERVERS):
+            self.site.add_server(
+                seed=options.seed, unframed_share=options.unframed,
+                fin_share=options.fin, reports=number in reporting)
+
+    def calm(self, things):
+        return [thing for thing in things if thing.name not in self.busy]
+
+    async def with_these(self, things, act):
+        """Lets no other disruption have these meanwhile."""
+        names = {thing.name for thing in things}
+        self.busy |= names
+        try:
+            await act(*things)
+        finally:
+            self.busy -= names
 
     async def with_one(self, things, act):
-        thing = self.free(things)
-        if thing is not None:
-            self.busy.add(thing.name)
-            try:
-                await act(thing)
-            finally:
-                self.busy.discard(thing.name)
+        """Acts on one that is not in trouble, if others are left."""
+        calm = self.calm(things)
+        if len(calm) > 1:
+            await self.with_these([self.rng.choice(calm)], act)
 
-    # Disruptions
+    async def with_server(self, act):
+        await self.with_one(self.site.servers, act)
+
+    async def with_gateway(self, act):
+        await self.with_one(self.site.gateways, act)
+
+    # Disruptions of servers
 
     async def replace(self):
-        async def act(runner):
-            await runner.leave(DRAIN_S)
+        async def act(server):
+            await server.leave(DRAIN_S)
             await asyncio.sleep(self.rng.uniform(0.1, 1.5))
-            runner.version = "v2" if runner.version == "v1" else "v1"
-            await runner.start()
+            server.version = other_version(server.version)
+            await server.start()
             await asyncio.sleep(1)
-        await self.with_one(self.runners, act)
+        await self.with_server(act)
 
     async def crash(self):
-        async def act(runner):
-            runner.crash()
+        async def act(server):
+            server.crash()
             await asyncio.sleep(self.rng.uniform(0.3, 5))
             if self.rng.random() < 0.5:
-                runner.version = "v2" if runner.version == "v1" else "v1"
-            await runner.start()
+                server.version = other_version(server.version)
+            await server.start()
+            await asyncio.sleep(1)
+        await self.with_server(act)
+
+    async def start_again(self, server):
+        """Restarts at once with the other version; its entry may be late."""
+        server.crash()
+        await asyncio.sleep(self.rng.uniform(0.05, 1))
+        server.version = other_version(server.version)
+        late = self.rng.random() < 0.5
+        await server.start(
+            entry_delay_s=self.rng.uniform(0, 1.5) if late else 0.0)
+
+    async def restart(self):
+        async def act(server):
+            if self.rng.random() < 0.3:
+                self.site.spawn(self.outage())
+                await asyncio.sleep(0.2)
+            await self.start_again(server)
+            if self.rng.random() < 0.3:
+                await asyncio.sleep(self.rng.uniform(0, 0.8))
+                await self.start_again(server)
+            await asyncio.sleep(1)
+        await self.with_server(act)
+
+    async def successor(self):
+        """A server restarts, and then one of its former version crashes."""
+        async def act(first, second):
+            await self.start_again(first)
+            await asyncio.sleep(0.05)
+            second.crash()
+            await asyncio.sleep(self.rng.uniform(0.3, 2))
+            await second.start()
+            await asyncio.sleep(1)
+        calm = self.calm(self.site.servers)
+        pairs = [(first, second) for first in calm for second in calm
+                 if first != second and first.version == second.version]
+        if pairs and len(calm) > 2:
+            await self.with_these(self.rng.choice(pairs), act)
+
+    async def retire(self):
+        """A planned end closes connections with FIN, streams run or not."""
+        async def act(server):
+            server.fin_at_exit = True
+            await server.leave(DRAIN_S)
+            await asyncio.sleep(self.rng.uniform(0.1, 1.5))
+            await server.start()
             await asyncio.sleep(1)
-        await self.with_one(self.runners, act)
+        await self.with_server(act)
+
+    async def reset(self):
+        async def act(server):
+            server.reset_links()
+        now = asyncio.get_running_loop().time()
+        if now >= self.reset_at + RESET_PAUSE_S:
+            self.reset_at = now
+            await self.with_server(act)
+
+    # Disruptions of gateways and the store
 
     async def freeze(self):
         async def act(gateway):
@@ -112,33 +161,50 @@
                 await asyncio.sleep(self.rng.uniform(0.3, 4))
                 gateway.send(signal.SIGCONT)
                 await asyncio.sleep(0.3)
-        await self.with_one(self.gateways, act)
+        await self.with_gateway(act)
 
     async def kill(self):
         async def act(gateway):
             gateway.send(signal.SIGKILL)
             gateway.child.wait()
             await asyncio.sleep(self.rng.uniform(0.2, 2))
-            gateway.start(bootstrap=False)
-            await self.case.wait_ready([gateway])
-        await self.with_one(self.gateways, act)
+            await self.site.start_gateway_again(gateway)
+        await self.with_gateway(act)
+
+    async def stop(self):
+        """A planned stop."""
+        async def act(gateway):
+            loop = asyncio.get_running_loop()
+            ends = loop.time() + STOP_S
+            gateway.send(signal.SIGTERM)
+            while gateway.child.poll() is None and loop.time() < ends:
+                await asyncio.sleep(0.1)
+            if gateway.child.poll() != 0:
+                self.site.faults.append(
+                    f"{gateway.name} told to stop: {gateway.child.poll()}")
+                gateway.end()
+            await asyncio.sleep(self.rng.uniform(0.2, 2))
+            await self.site.start_gateway_again(gateway)
+        await self.with_gateway(act)
 
     async def cut(self):
         async def act(gateway):
-            self.store.modes[gateway.name] = stores.SILENT
+            modes = self.site.store.modes
+            modes[gateway.name] = stores.SILENT
             await asyncio.sleep(self.rng.uniform(1, 6))
-            self.store.modes[gateway.name] = stores.PASS
+            modes[gateway.name] = stores.PASS
             await asyncio.sleep(1)
-        await self.with_one(self.gateways, act)
+        await self.with_gateway(act)
 
     async def outage(self):
-        names = [gateway.name for gateway in self.gateways] + ["runners"]
-        for name in names:
-            self.store.modes[name] = stores.SILENT
+        modes = self.site.store.modes
+        names = [gateway.name for gateway in self.site.gateways] + ["runners"]
+        modes.update(dict.fromkeys(names, stores.SILENT))
         self.case.record.add("outage")
         await asyncio.sleep(self.rng.uniform(1, 4.5))
-        for name in names:
-            self.store.modes[name] = stores.PASS
+        modes.update(dict.fromkeys(names, stores.PASS))
+
+    # The run
 
     async def disrupt(self, until):
         loop = asyncio.get_running_loop()
@@ -146,76 +212,76 @@
             await asyncio.sleep(self.rng.uniform(0.2, 2))
             kind = self.rng.choice(self.options.disruptions)
             self.case.record.add("disruption", kind)
-            self.spawn(getattr(self, kind)())
+            self.site.spawn(getattr(self, kind)())
 
     async def call(self, until):
         loop = asyncio.get_running_loop()
-        addresses = [gateway.ip for gateway in self.gateways]
         while loop.time() < until:
-            client = harness.StreamClient(
-                self.case, f"c{len(self.clients)}", addresses)
-            self.clients.append(client)
-            self.spawn(client.run(self.rng.choice(addresses), TRIES))
-            await asyncio.sleep(STREAM_INTERVAL_S)
+            self.site.call(self.rng.choice(self.site.addresses()))
+            await asyncio.sleep(stream_site.STREAM_INTERVAL_S)
 
     async def play(self):
-        await self.start()
+        await self.site.start()
         until = asyncio.get_running_loop().time() + self.options.seconds
         await asyncio.gather(self.disrupt(until), self.call(until))
-        while self.tasks:
-            await asyncio.wait(set(self.tasks), timeout=30)
-        return self.problems()
-
-    def problems(self):
-        found = []
-        mixed = []
-        for client in self.clients:
-            numbers = [number for number, _, _ in client.events]
-            if numbers != list(range(1, len(numbers) + 1)):
-                found.append(f"{client.name}: events {numbers}")
-            if client.complete and len(numbers) != EVENTS:
-                found.append(f"{client.name}: complete after {len(numbers)}")
-            if len(client.versions()) > 1:
-                mixed.append(client.name)
-        if len(mixed) > MOST_MIXED:
-            found.append(f"two versions in {len(mixed)} streams: {mixed}")
-        for gateway in self.gateways:
-            if gateway.child.poll() is not None:
-                found.append(f"{gateway.name} has ended by itself")
-        taken_up = sum(len(client.attempts) > 1 for client in self.clients)
-        complete = sum(client.complete for client in self.clients)
-        print(f"seed {self.options.seed}: {len(self.clients)} streams, "
-              f"{taken_up} taken up, {complete} complete, {len(mixed)} of two "
-              f"versions, {len(found)} problems", flush=True)
+        faults = await self.site.finish()
+        counts = count(self.site.callers, EVENTS)
+        incomplete = counts.streams - counts.complete
+        if self.options.disruptions == ["reset"] and incomplete:
+            faults.append(f"{incomplete} streams are lost by mere resets")
+        found = counts.problems() + faults
+        print(f"seed {self.options.seed}: {counts}, {len(found)} problems",
+              flush=True)
         return found
 
 
+def share(text):
+    value = float(text)
+    if not 0 <= value <= 1:
+        raise argparse.ArgumentTypeError(f"{text}: 0 to 1 are possible")
+    return value
+
+
 def parse_options():
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=25)
     parser.add_argument("--gateways", type=int, default=3)
-    parser.add_argument("--gateway", default=harness.GATEWAY,
+    parser.add_argument("--gateway", default=stream_site.GATEWAY,
                         help="the program, from the root of the repository")
+    parser.add_argument("--old-gateway", help="an older build of the program")
+    parser.add_argument("--old-count", type=int, default=0,
+                        help="how many of the gateways run the older build")
     parser.add_argument("--disruptions", default=",".join(DISRUPTIONS))
+    parser.add_argument("--unframed", type=share, default=0.3,
+                        help="share of streams without length or chunks")
+    parser.add_argument("--fin", type=share, default=0.5,
+                        help="share of crashes that close with FIN")
+    parser.add_argument("--reports", type=share, default=0.5,
+                        help="share of servers that answer /api/report")
     options = parser.parse_args()
     options.disruptions = options.disruptions.split(",")
-    unknown = set(options.disruptions) - set(DISRUPTIONS)
-    if unknown or not 2 <= options.gateways <= 10:
-        parser.error(f"unknown disruptions {unknown}" if unknown else
-                     f"--gateways {options.gateways}: 2 to 10 are possible")
+    check_options(parser, options)
     return options
 
 
+def check_options(parser, options):
+    unknown = set(options.disruptions) - set(DISRUPTIONS)
+    if unknown:
+        parser.error(f"unknown disruptions {unknown}")
+    if not 2 <= options.gateways <= 10:
+        parser.error(f"--gateways {options.gateways}: 2 to 10 are possible")
+    if not 0 <= options.old_count <= options.gateways:
+        parser.error(f"--old-count {options.old_count}: "
+                     f"0 to {options.gateways} are possible")
+    if options.old_count and not options.old_gateway:
+        parser.error("--old-count needs --old-gateway")
+
+
 def main():
     options = parse_options()
-    harness.GATEWAY = options.gateway
-    case = harness.Case(tempfile.mkdtemp(prefix="stream-order-"))
-    try:
-        found = asyncio.run(Soak(case, options).play())
-    finally:
-        case.close()
-    print("\n".join(found))
+    found = play(f"stream-order-{options.seed}",
+                 lambda case: Soak(case, options).play())
     return 1 if found else 0
 
 
