--- a/tests/platform_standins/include/medlarstall/platform_standins/server_standin.hpp
+++ b/tests/platform_standins/include/medlarstall/platform_standins/server_standin.hpp
@@ -86,6 +86,15 @@
     /// \return version of its software
     [[nodiscard]] std::string const& version() const { return version_; }
 
+    /// Ends its process and starts another under its id at once: breaks off
+    /// all answers and closes all connections that are idle.
+    /// \param version version of its software from now on
+    void restart(std::string version);
+
+    /// Does not state any more when its process has started, other than in its
+    /// entry.
+    void hide_start() { states_start_ = false; }
+
     /// Says in all answers from now on that it leaves.
     void leave() { leaving_ = true; }
 
@@ -127,6 +136,7 @@
     void on_request(std::unique_ptr<http::exchange> caller);
     bool crashes_it(http::exchange& caller) const;
     void crash(http::exchange& caller);
+    void report_state(http::exchange& caller) const;
     void send_events(http::exchange& caller, std::uint64_t count);
     http::response_head head_for(http::exchange& caller, int status) const;
 
@@ -138,6 +148,8 @@
     std::vector<std::unique_ptr<http::exchange>> held_;
     std::size_t abandoned_ = 0;
     std::vector<std::chrono::steady_clock::time_point> arrival_times_;
+    std::int64_t started_unix_ms_ = 1700000000000;
+    bool states_start_ = true;
     bool leaving_ = false;
     std::string rate_limit_;
     std::string crashing_part_;
--- a/tests/platform_standins/src/raw_server.cpp
+++ b/tests/platform_standins/src/raw_server.cpp
@@ -9,6 +9,14 @@
 
 namespace medlarstall::platform_standins {
 
+namespace {
+
+/// What a server states of itself; the start as in its entry.
+std::string const state_answer = "HTTP/1.1 200 OK\r\nContent-Length: 22\r\n\r\n"
+                                 R"({"born":1700000000000})";
+
+} // namespace
+
 /// One connection. Kept alive by its pending operations.
 struct raw_server::session
 {
@@ -75,6 +83,11 @@
                         "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"}));
         return;
     }
+    if (head.starts_with("GET /api/report ")) {
+        std::error_code ignored;
+        asio::write(with->socket, asio::buffer(state_answer), ignored);
+        return;
+    }
     ++requests_;
     constexpr std::string_view field = "X-Attempt-Id: ";
     auto const at = head.find(field);
--- a/tests/platform_standins/src/server_standin.cpp
+++ b/tests/platform_standins/src/server_standin.cpp
@@ -27,7 +27,29 @@
            R"(","zone":"z","version":")" + version_ +
            R"(","slots":4,"state":")" + state +
            R"(","coldRemainingMs":0,"sequence":)" + std::to_string(sequence) +
-           R"(,"born":1700000000000})";
+           R"(,"born":)" + std::to_string(started_unix_ms_) + "}";
+}
+
+void server_standin::restart(std::string version)
+{
+    constexpr std::int64_t running_time_ms = 5000;
+    started_unix_ms_ += running_time_ms;
+    version_ = std::move(version);
+    for (auto const& held : std::exchange(held_, {})) {
+        held->abort();
+    }
+    listener_.close_idle(monotonic_clock::now() + std::chrono::hours{1});
+}
+
+void server_standin::report_state(http::exchange& caller) const
+{
+    if (!states_start_) {
+        caller.respond({http::response_head{404, {}, {}}, ""});
+        return;
+    }
+    caller.respond({http::response_head{200, {}, {}},
+                    R"({"busy":false,"active":0,"born":)" +
+                        std::to_string(started_unix_ms_) + "}"});
 }
 
 http::response_head server_standin::head_for(http::exchange& caller,
@@ -79,6 +101,10 @@
         caller->respond({head_for(*caller, 200), ""});
         return;
     }
+    if (caller->head().target == "/api/report") {
+        report_state(*caller);
+        return;
+    }
     auto const* const expected = headers.find("X-Expect-Instance");
     if (expected != nullptr && *expected != id_) {
         caller->respond({head_for(*caller, 421), ""});
