Show answers told as whole when the process of their server has ended

Callers saw streams end as complete after half of their events, and half of a plain body with status 200. An answer with neither a length nor chunks ends with its connection, and the kernel closes the connections of a process that has ended in the same way. The raw stand-in of a server can now end its answers or its process, and counts the connections that it has accepted.

--- a/tests/platform_standins/include/medlarstall/platform_standins/raw_server.hpp
+++ b/tests/platform_standins/include/medlarstall/platform_standins/raw_server.hpp
@@ -11,6 +11,7 @@
 #include <memory>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace medlarstall::platform_standins {
 
@@ -50,18 +51,32 @@
     /// \return connections that the other side has closed
     [[nodiscard]] std::size_t closed() const { return closed_; }
 
+    /// \return connections that it has accepted
+    [[nodiscard]] std::size_t accepted() const { return accepted_; }
+
+    /// Closes the connections that have carried a request, without a reset.
+    /// \param spared number of them that stay open, the last ones
+    void end_answers(std::size_t spared = 0);
+
+    /// Closes everything as a kernel does when the process has ended: each
+    /// connection ends without a reset, and new ones are refused.
+    void end_process();
+
 private:
     struct session;
 
     void accept();
+    static void close(session& ended);
     void read(std::shared_ptr<session> const& with);
     void on_bytes(std::shared_ptr<session> const& with);
     void send_again(std::shared_ptr<session> const& with);
 
     asio::ip::tcp::acceptor acceptor_;
     raw_answer answer_;
+    std::vector<std::weak_ptr<session>> sessions_;
     std::size_t requests_ = 0;
     std::size_t closed_ = 0;
+    std::size_t accepted_ = 0;
 };
 
 } // namespace medlarstall::platform_standins
--- a/tests/platform_standins/src/raw_server.cpp
+++ b/tests/platform_standins/src/raw_server.cpp
@@ -1,6 +1,7 @@
 #include <medlarstall/platform_standins/raw_server.hpp>
 
 #include <asio/buffer.hpp>
+#include <asio/error.hpp>
 #include <asio/write.hpp>
 
 #include <algorithm>
@@ -37,13 +38,50 @@
 
 void raw_server::accept()
 {
-    acceptor_.async_accept(
-        [this](std::error_code failure, asio::ip::tcp::socket connected) {
-            if (!failure) {
-                read(std::make_shared<session>(std::move(connected)));
-                accept();
-            }
-        });
+    acceptor_.async_accept([this](std::error_code failure,
+                                  asio::ip::tcp::socket connected) {
+        if (!failure) {
+            ++accepted_;
+            auto const opened = std::make_shared<session>(std::move(connected));
+            sessions_.push_back(opened);
+            read(opened);
+            accept();
+        }
+    });
+}
+
+void raw_server::close(session& ended)
+{
+    std::error_code ignored;
+    std::ignore =
+        ended.socket.shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
+    std::ignore = ended.socket.close(ignored);
+}
+
+void raw_server::end_answers(std::size_t spared)
+{
+    std::vector<std::shared_ptr<session>> used;
+    for (auto const& weak : sessions_) {
+        auto const found = weak.lock();
+        if (found && found->answered && found->socket.is_open()) {
+            used.push_back(found);
+        }
+    }
+    used.resize(used.size() - std::min(spared, used.size()));
+    for (auto const& ended : used) {
+        close(*ended);
+    }
+}
+
+void raw_server::end_process()
+{
+    std::error_code ignored;
+    std::ignore = acceptor_.close(ignored);
+    for (auto const& weak : sessions_) {
+        if (auto const found = weak.lock()) {
+            close(*found);
+        }
+    }
 }
 
 void raw_server::read(std::shared_ptr<session> const& with)
@@ -51,6 +89,9 @@
     with->socket.async_read_some(
         asio::buffer(with->buffer),
         [this, with](std::error_code failure, std::size_t count) {
+            if (failure == asio::error::operation_aborted) {
+                return;
+            }
             if (failure) {
                 ++closed_;
                 return;
