Test that short answers that end with their connections are delivered

Each connection that is open at the end of an answer ends soon after it, so the check must fall back to a connection of its own.

--- a/tests/libgateway/answer_ends_test.cpp
+++ b/tests/libgateway/answer_ends_test.cpp
@@ -255,6 +255,25 @@
     BOOST_TEST(world.log_text().find("event=answer_end") == std::string::npos);
 }
 
+// Each connection that is open at the end of an answer ends soon after it.
+BOOST_AUTO_TEST_CASE(short_answers_are_broken_as_no_connection_lasts)
+{
+    constexpr int rounds = 40;
+    unframed_answers world{plain_body};
+    for (int round = 0; round < rounds; ++round) {
+        world.answers.push_back(
+            world.send(0, "POST", "/once/a", "id-" + std::to_string(round)));
+        world.run_for(20ms);
+        world.ending.end_answers(round + 1 < rounds ? 1 : 0);
+    }
+    BOOST_REQUIRE(world.wait_for_ends());
+    for (auto const& answer : world.answers) {
+        BOOST_TEST(answer->status == 200);
+        BOOST_TEST(answer->body == plain_body);
+    }
+    BOOST_TEST_MESSAGE("connections: " << world.ending.accepted());
+}
+
 // A resumption at the last event has an empty rest.
 BOOST_AUTO_TEST_CASE(a_whole_stream_ends_well_if_its_server_ends_right_after)
 {
