--- a/tests/libgateway/answer_ends_test.cpp
+++ b/tests/libgateway/answer_ends_test.cpp
@@ -13,7 +13,6 @@
 using namespace medlarstall;
 using namespace std::chrono_literals;
 using platform_standins::behaviour;
-using platform_standins::raw_answer;
 using platform_standins::raw_server;
 using platform_standins::server_standin;
 
