Attribute a crash to the run of the server that had the request

What callers saw: nothing at once. A request, or a prompt part, was taken to have crashed more servers than it had, and was refused early.

Cause: the id of a crash is made of the server's id and its start, so that all daemons give a crash the same id. The start was that of the entry when the server was found down, up to 1.5 s after the loss, or when a held loss was reported. If the entry of the next run had been read by then, this daemon told of a crash of the next run, others of one of the run before: one crash counted twice. A loss of the next run could be reported with a crash of the run before.

Change: a placement states the start in its entry, a lost connection keeps it, and a report takes it from there. A held loss keeps which run was found down; losses of later runs are kept.

Why it works: the start is taken when the request is sent, and no later entry changes it. Limit: a process that serves before its entry is written still counts with the start of the entry by which it was chosen. Peer messages are as before. The calls of existing tests get the start as an argument, and check the same.

--- a/src/libdispatch/include/medlarstall/dispatch/crash_tracker.hpp
+++ b/src/libdispatch/include/medlarstall/dispatch/crash_tracker.hpp
@@ -64,19 +64,26 @@
     /// \param request the request
     /// \param backend_server id of the backend server that the request was
     ///     sent to
+    /// \param started_unix_ms when that run of it has started, from the entry
+    /// by
+    ///     which the request was sent
     /// \param now current time
     void on_connection_lost(crash_suspect const& request,
-                            std::string_view backend_server, time_point now);
+                            std::string_view backend_server,
+                            std::int64_t started_unix_ms, time_point now);
 
-    /// Called when a backend server was found down. Attributes the crash to the
-    /// requests whose connections to it were just lost.
+    /// Called when a backend server was found down. Attributes the crashes to
+    /// the requests whose connections to it were just lost, each to the run
+    /// that had the request.
     /// \param backend_server id of the backend server
-    /// \param started_unix_ms when it has started, from its entry in the list
+    /// \param last_started_unix_ms when the run of it has started that was
+    /// found
+    ///     down; the losses of later runs are kept
     /// \param now current time
     /// \return crashes to report to the other daemons, one for each request
     ///     whose connection was just lost; empty if there is none
     std::vector<crash_report> on_server_down(std::string_view backend_server,
-                                             std::int64_t started_unix_ms,
+                                             std::int64_t last_started_unix_ms,
                                              time_point now);
 
     /// Adds a crash that another daemon has reported. The same crash reported
@@ -105,6 +112,7 @@
     {
         crash_suspect request;
         std::string backend_server;
+        std::int64_t started_unix_ms;
         time_point at;
     };
     struct suspect
--- a/src/libdispatch/include/medlarstall/dispatch/placement.hpp
+++ b/src/libdispatch/include/medlarstall/dispatch/placement.hpp
@@ -43,6 +43,8 @@
     std::string backend_server;   ///< Id of the chosen backend server.
     std::string address;          ///< Its address, in the form IP:PORT.
     std::string software_version; ///< As stated by its entry in the list.
+    /// Start of its process, as stated by its entry in the list.
+    std::int64_t started_unix_ms = 0;
     /// Number of backend servers compared.
     std::size_t candidate_count = 0;
     /// Number of backend servers left out to keep to their rate limits.
--- a/src/libdispatch/src/crash_tracker.cpp
+++ b/src/libdispatch/src/crash_tracker.cpp
@@ -29,9 +29,11 @@
 
 void crash_tracker::on_connection_lost(crash_suspect const& request,
                                        std::string_view backend_server,
+                                       std::int64_t started_unix_ms,
                                        time_point now)
 {
-    losses_.push_back({request, std::string{backend_server}, now});
+    losses_.push_back(
+        {request, std::string{backend_server}, started_unix_ms, now});
     while (losses_.size() > max_losses ||
            (!losses_.empty() &&
             now - losses_.front().at > settings_.loss_window)) {
@@ -41,17 +43,18 @@
 
 std::vector<crash_report>
 crash_tracker::on_server_down(std::string_view backend_server,
-                              std::int64_t started_unix_ms, time_point now)
+                              std::int64_t last_started_unix_ms, time_point now)
 {
     std::vector<crash_report> reports;
-    auto const crash_id = crash_id_for(backend_server, started_unix_ms);
     std::erase_if(losses_, [&](connection_loss const& item) {
         if (item.backend_server != backend_server ||
+            item.started_unix_ms > last_started_unix_ms ||
             now - item.at > settings_.loss_window) {
             return false;
         }
         reports.push_back(
-            {item.request.request, item.backend_server, crash_id,
+            {item.request.request, item.backend_server,
+             crash_id_for(backend_server, item.started_unix_ms),
              item.request.parts,
              std::chrono::duration_cast<std::chrono::milliseconds>(now -
                                                                    item.at)});
--- a/src/libgateway/include/medlarstall/gateway/gateway.hpp
+++ b/src/libgateway/include/medlarstall/gateway/gateway.hpp
@@ -138,6 +138,16 @@
     [[nodiscard]] gateway_settings const& settings() const { return settings_; }
 
 private:
+    /// A backend server that was found down while it was not known whether it
+    /// has crashed or its path is lost.
+    struct held_loss
+    {
+        std::string server;
+        /// When the run that was found down has started.
+        std::int64_t started_unix_ms;
+        time_point at;
+    };
+
     request_context make_request_context();
     http::server_events entry_events();
     /// \return callbacks of the readiness, directory, peer and metrics
@@ -240,7 +250,7 @@
     void check_lost_paths(time_point now);
     void check_path(dispatch::backend_server_entry const& entry);
     void note_probe_path(std::string const& id, bool answered, time_point now);
-    void report_down(std::string const& id, time_point now);
+    void report_down(held_loss const& found, time_point now);
     void report_held_losses(time_point now);
     bool list_is_current(shared_read::number asked) const;
     bool store_is_away() const;
@@ -272,13 +282,6 @@
     dispatch::dispatcher dispatcher_;
     dispatch::stream_origins origins_;
     dispatch::server_paths paths_;
-    /// A backend server that was found down while it was not known whether it
-    /// has crashed or its path is lost.
-    struct held_loss
-    {
-        std::string server;
-        time_point at;
-    };
     std::vector<held_loss> held_losses_;
     std::size_t path_checks_ = 0; ///< Number of checks of lost paths.
     /// What this daemon reads and writes of the records of streams.
--- a/src/libgateway/src/forwarded_request_failure.cpp
+++ b/src/libgateway/src/forwarded_request_failure.cpp
@@ -33,7 +33,8 @@
         failure != http::call_failure::nothing_sent) {
         note_path_failure(now);
     }
-    auto const server = current_send_->placement.backend_server;
+    auto const& placement = current_send_->placement;
+    auto const& server = placement.backend_server;
     auto* const health = context_.dispatcher.health_tracker_of(server);
     if (failure == http::call_failure::not_connected) {
         context_.on_server_unreachable(server);
@@ -41,8 +42,8 @@
         if (health != nullptr) {
             health->on_connection_lost(now);
         }
-        context_.dispatcher.crashes().on_connection_lost(crash_suspect_, server,
-                                                         now);
+        context_.dispatcher.crashes().on_connection_lost(
+            crash_suspect_, server, placement.started_unix_ms, now);
     }
     auto const not_sent = http::certainly_not_sent(failure);
     end_send(not_sent ? dispatch::send_outcome::cancelled
--- a/src/libgateway/src/gateway_paths.cpp
+++ b/src/libgateway/src/gateway_paths.cpp
@@ -138,11 +138,12 @@
     pool_.close_idle(id);
     auto const* const entry = dispatcher_.find_entry(id);
     auto const service = entry != nullptr ? entry->service : "";
+    held_loss found{id, entry != nullptr ? entry->started_unix_ms : 0, now};
     if (peers_reach(service, now)) {
-        held_losses_.push_back({id, now});
+        held_losses_.push_back(std::move(found));
         return;
     }
-    report_down(id, now);
+    report_down(found, now);
 }
 
 /// Reports held losses as crashes once another backend server of the service
@@ -154,7 +155,7 @@
         auto const* const entry = dispatcher_.find_entry(loss.server);
         auto const service = entry != nullptr ? entry->service : "";
         if (paths_.had_contact_since(service, loss.at)) {
-            report_down(loss.server, now);
+            report_down(loss, now);
         } else if (now - loss.at < max_loss_hold) {
             held_losses_.push_back(loss);
         } else {
@@ -166,13 +167,12 @@
     }
 }
 
-void gateway::report_down(std::string const& id, time_point now)
+void gateway::report_down(held_loss const& found, time_point now)
 {
-    auto const* const entry = dispatcher_.find_entry(id);
-    auto const started = entry != nullptr ? entry->started_unix_ms : 0;
-    for (auto& note : dispatcher_.crashes().on_server_down(id, started, now)) {
+    for (auto& note : dispatcher_.crashes().on_server_down(
+             found.server, found.started_unix_ms, now)) {
         log_entry{log_, log_category::state_change, "crash"}
-            .with("server", id)
+            .with("server", found.server)
             .with("fingerprint", note.request)
             .with("crash", note.crash_id)
             .with("parts", join(note.parts))
--- a/tests/libdispatch/crashing_parts_simulation_test.cpp
+++ b/tests/libdispatch/crashing_parts_simulation_test.cpp
@@ -263,7 +263,8 @@
         std::erase_if(
             runs_, [server](run const& item) { return item.server == server; });
         for (auto const& item : lost) {
-            trackers_[item.daemon].on_connection_lost(item.request, id, now_);
+            trackers_[item.daemon].on_connection_lost(item.request, id, 1,
+                                                      now_);
         }
         for (std::size_t at = 0; at < trackers_.size(); ++at) {
             auto const reports = trackers_[at].on_server_down(id, 1, now_);
--- a/tests/libdispatch/decisions_test.cpp
+++ b/tests/libdispatch/decisions_test.cpp
@@ -131,12 +131,12 @@
 BOOST_AUTO_TEST_CASE(request_is_quarantined_after_its_third_crash)
 {
     crash_tracker tracker;
-    tracker.on_connection_lost({1, {}}, "a", start);
+    tracker.on_connection_lost({1, {}}, "a", 1, start);
     BOOST_TEST(tracker.on_server_down("a", 1, start + 100ms).size() == 1U);
-    tracker.on_connection_lost({1, {}}, "b", start + 5s);
+    tracker.on_connection_lost({1, {}}, "b", 1, start + 5s);
     tracker.on_server_down("b", 1, start + 5100ms);
     BOOST_TEST(!tracker.is_quarantined(1, start + 6s));
-    tracker.on_connection_lost({1, {}}, "c", start + 9s);
+    tracker.on_connection_lost({1, {}}, "c", 1, start + 9s);
     tracker.on_server_down("c", 1, start + 9100ms);
     BOOST_TEST(tracker.is_quarantined(1, start + 10s));
     BOOST_TEST(!tracker.is_quarantined(2, start + 10s));
@@ -146,17 +146,44 @@
 {
     crash_tracker tracker;
     for (int at = 0; at < 10; ++at) {
-        tracker.on_connection_lost({1, {}}, "a", start + at * 1s);
+        tracker.on_connection_lost({1, {}}, "a", 1, start + at * 1s);
     }
     BOOST_TEST(!tracker.is_quarantined(1, start + 10s));
     BOOST_TEST(tracker.on_server_down("b", 1, start + 10s).empty());
 }
 
+// The entry of the next run may be read before the server is found down.
+BOOST_AUTO_TEST_CASE(crash_is_attributed_to_the_next_run_of_its_server)
+{
+    crash_tracker told_late;
+    crash_tracker told_early;
+    told_early.on_connection_lost({1, {}}, "a", 1, start);
+    auto const early = told_early.on_server_down("a", 1, start + 100ms);
+    told_late.on_connection_lost({1, {}}, "a", 1, start);
+    auto const late = told_late.on_server_down("a", 2, start + 600ms);
+    BOOST_REQUIRE(early.size() == 1U);
+    BOOST_REQUIRE(late.size() == 1U);
+    BOOST_TEST(early[0].crash_id == late[0].crash_id);
+}
+
+// While it is open whether a crash or a lost path was seen, the server may
+// start again and lose a connection without a crash.
+BOOST_AUTO_TEST_CASE(loss_of_a_later_run_is_attributed_to_an_earlier_crash)
+{
+    crash_tracker tracker;
+    tracker.on_connection_lost({1, {}}, "a", 1, start);
+    tracker.on_connection_lost({2, {}}, "a", 2, start + 500ms);
+    auto const reports = tracker.on_server_down("a", 1, start + 600ms);
+    BOOST_REQUIRE(reports.size() == 1U);
+    BOOST_TEST(reports[0].request == 1U);
+    BOOST_TEST(tracker.on_server_down("a", 2, start + 700ms).size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(success_clears_a_request_that_ran_beside_the_cause)
 {
     crash_tracker tracker;
-    tracker.on_connection_lost({1, {}}, "a", start);
-    tracker.on_connection_lost({2, {}}, "a", start);
+    tracker.on_connection_lost({1, {}}, "a", 1, start);
+    tracker.on_connection_lost({2, {}}, "a", 1, start);
     tracker.on_server_down("a", 1, start);
     tracker.on_success({2, {}}, start);
     for (std::uint64_t crash : {77U, 78U}) {
--- a/tests/libgateway/gateway_fixture.cpp
+++ b/tests/libgateway/gateway_fixture.cpp
@@ -114,6 +114,17 @@
               servers.at(at)->entry("s", state, sequence));
 }
 
+void gateway_fixture::list_next_run(std::size_t at)
+{
+    auto entry = servers.at(at)->entry("s", "ready", 1);
+    std::string const started{"1700000000000"};
+    entry.replace(entry.find(started), started.size(), "1700000009000");
+    store.put("keyed.servers", servers.at(0)->id(), entry);
+    BOOST_REQUIRE(run_until([this] {
+        return log_text().find("change=restarted") != std::string::npos;
+    }));
+}
+
 void gateway_fixture::list_raw_server(
     platform_standins::raw_server const& server, std::string const& id)
 {
--- a/tests/libgateway/gateway_fixture.hpp
+++ b/tests/libgateway/gateway_fixture.hpp
@@ -88,6 +88,12 @@
     void list_server(std::size_t at, std::string const& state,
                      std::uint64_t sequence);
 
+    /// Writes the entry of the next run of the first backend server, and waits
+    /// until a gateway has read it.
+    /// \param at index in servers of the one that the entry names the address
+    /// of
+    void list_next_run(std::size_t at = 0);
+
     /// Writes an entry for a raw server and waits until the first gateway has
     /// read it.
     void
--- /dev/null
+++ b/tests/libgateway/restarted_servers_test.cpp
@@ -0,0 +1,55 @@
+// Tests whole gateways with backend servers that start again under their ids,
+// while requests that were sent to the run before are still in flight.
+
+#include "gateway_fixture.hpp"
+
+#include <medlarstall/support/digest.hpp>
+
+#include <boost/test/unit_test.hpp>
+
+#include <memory>
+#include <string>
+
+using namespace medlarstall;
+using namespace std::chrono_literals;
+using kind = platform_standins::behaviour::kind;
+
+namespace {
+
+/// Start of the first run of each stand-in, as its entry states it.
+constexpr std::uint64_t first_start_unix_ms = 1700000000000;
+/// Longer than a gateway waits before it probes a backend server.
+constexpr auto probe_time = 600ms;
+
+/// Sends a request that the first backend server holds.
+std::shared_ptr<caller_answer> send_held(ready_gateway_fixture& world)
+{
+    world.servers[0]->script({.what = kind::hold});
+    auto answer = world.send(0, "POST", "/once/a", "held");
+    BOOST_REQUIRE(world.run_until([&world] { return world.runs() == 1; }));
+    return answer;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(restarted_servers_suite)
+
+// Other daemons, which have not read the entry of the next run, report it with
+// another id, so that one crash counts twice.
+BOOST_AUTO_TEST_CASE(a_crash_is_reported_as_one_of_the_next_run)
+{
+    ready_gateway_fixture world{1};
+    world.servers[0]->crash_on("bad");
+    auto const held = send_held(world);
+    world.list_next_run();
+    auto const crashing = world.send(0, "POST", "/once/a", "bad", "key-small",
+                                     "180,20", "bad:100,9f:30");
+    BOOST_REQUIRE(world.run_until(
+        [&held, &crashing] { return held->ended() && crashing->ended(); }));
+    world.run_for(probe_time);
+    auto const crash_id = hash64("i-0", first_start_unix_ms);
+    BOOST_TEST(world.log_text().find("crash=" + std::to_string(crash_id)) !=
+               std::string::npos);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/platform_standins/include/medlarstall/platform_standins/server_standin.hpp
+++ b/tests/platform_standins/include/medlarstall/platform_standins/server_standin.hpp
@@ -72,6 +72,9 @@
     /// \param part id of the part as requests state it
     void crash_on(std::string part) { crashing_part_ = std::move(part); }
 
+    /// Breaks off all answers, and refuses connections from now on.
+    void crash();
+
     /// \return when it has crashed; empty if it has not
     [[nodiscard]] std::optional<std::chrono::steady_clock::time_point>
     crashed_at() const
@@ -126,7 +129,6 @@
 private:
     void on_request(std::unique_ptr<http::exchange> caller);
     bool crashes_it(http::exchange& caller) const;
-    void crash(http::exchange& caller);
     void send_events(http::exchange& caller, std::uint64_t count);
     http::response_head head_for(http::exchange& caller, int status) const;
 
--- a/tests/platform_standins/src/server_standin.cpp
+++ b/tests/platform_standins/src/server_standin.cpp
@@ -56,12 +56,10 @@
                std::string::npos;
 }
 
-/// Breaks off all answers, and refuses connections from now on.
-void server_standin::crash(http::exchange& caller)
+void server_standin::crash()
 {
     crashed_at_ = std::chrono::steady_clock::now();
     listener_.close();
-    caller.abort();
     for (auto const& held : std::exchange(held_, {})) {
         held->abort();
     }
@@ -108,7 +106,8 @@
         return;
     }
     if (crashes_it(*caller)) {
-        crash(*caller);
+        crash();
+        caller->abort();
         return;
     }
     switch (next.what) {
