Keep answers of an earlier run from the record of the next one

What callers saw: a server that had started again got no requests, and where it was the only one they were refused with 503.

Cause: what an answer, a probe, a lost connection or a refused one tells of a server was applied by id, to the record of the next run if its entry had been read in between: that it leaves (kept for the whole run, and told to all peers with the new start), an asked pause, a rate limit (told as well), a load report, health. Only load reservations compared the run.

Ruled out: notices of peers that a server leaves or has a limit. They carry the start and were compared already.

Change: dispatcher::is_listed_run() compares the start by which a request or probe was sent with that of the entry; what belongs to another run is dropped. A run that was found down is still reported as a crash if requests to it were lost. One look-up more for each answer, no allocation.

Why it works: a connection belongs to one process, and the start by which it was used is kept with it. Limit: what a process says on connections from before its entry was read is dropped, too; it says it again with its next answer.

--- a/src/libdispatch/include/medlarstall/dispatch/dispatcher.hpp
+++ b/src/libdispatch/include/medlarstall/dispatch/dispatcher.hpp
@@ -256,6 +256,16 @@
     [[nodiscard]] backend_server_entry const*
     find_entry(std::string_view id) const;
 
+    /// Tells whether what is known by the id of a backend server is of a
+    /// certain run of it. An answer may arrive, and a connection may be lost,
+    /// after the entry of the next run was read.
+    /// \param id id of the backend server
+    /// \param started_unix_ms when the run has started, from the entry by which
+    ///     a request was sent to it
+    /// \return true if its entry in the list is of that run
+    [[nodiscard]] bool is_listed_run(std::string_view id,
+                                     std::int64_t started_unix_ms) const;
+
     /// Replaces what is known of the requests that another daemon has in
     /// flight.
     /// \param daemon peer address of the other daemon, as IP:PORT
--- a/src/libdispatch/src/dispatcher.cpp
+++ b/src/libdispatch/src/dispatcher.cpp
@@ -370,6 +370,13 @@
     return found == server_list_.all().end() ? nullptr : &found->second.entry;
 }
 
+bool dispatcher::is_listed_run(std::string_view id,
+                               std::int64_t started_unix_ms) const
+{
+    auto const* const entry = find_entry(id);
+    return entry != nullptr && entry->started_unix_ms == started_unix_ms;
+}
+
 void dispatcher::merge_loads(std::string const& daemon,
                              std::vector<server_load_entry> const& entries,
                              time_point now)
--- a/src/libgateway/include/medlarstall/gateway/forwarded_request.hpp
+++ b/src/libgateway/include/medlarstall/gateway/forwarded_request.hpp
@@ -53,12 +53,14 @@
     /// server. The second argument is true if its shared parts are new to that
     /// server; the announcement is then sent at once.
     std::function<void(sent_prompt_parts, bool)> announce_prompt;
-    /// Called with the id of a backend server that could not be reached.
-    std::function<void(std::string const&)> on_server_unreachable;
-    /// Called with the id of a backend server and the metadata of its answer.
-    /// The last argument is the time at which the request was sent if the
-    /// answer is one in which the backend server states its rate limit, should
-    /// it have one; empty for other answers.
+    /// Called with the id of a backend server that could not be reached, and
+    /// the start of its run as stated by the entry by which it was chosen.
+    std::function<void(std::string const&, std::int64_t)> on_server_unreachable;
+    /// Called with the id of a backend server and the metadata of its answer,
+    /// if the entry of no later run was read since the request was sent. The
+    /// last argument is the time at which the request was sent if the answer is
+    /// one in which the backend server states its rate limit, should it have
+    /// one; empty for other answers.
     std::function<void(std::string const&, answer_metadata const&,
                        std::optional<time_point>)>
         on_server_metadata;
@@ -186,6 +188,8 @@
     void on_refused_by_peer();
     void on_peer_failed(http::call_failure failure);
     void note_path_failure(time_point now);
+    bool is_of_listed_run() const;
+    dispatch::server_health* health_of_run() const;
     bool is_taken_up() const;
     void find_origin();
     void wait_for_origin();
--- a/src/libgateway/include/medlarstall/gateway/gateway.hpp
+++ b/src/libgateway/include/medlarstall/gateway/gateway.hpp
@@ -204,10 +204,13 @@
                             std::function<void(http::response const&)> done);
     void send_probes(time_point now);
     void send_probe(dispatch::backend_server_entry const& entry);
-    void evaluate_probe(std::string const& id, http::response const& answer);
+    void evaluate_probe(std::string const& id, std::int64_t started_unix_ms,
+                        http::response const& answer);
     void on_probe_result(std::string const& id, bool good, char const* reason);
-    void on_server_unreachable(std::string const& id);
-    void on_server_down(std::string const& id, time_point now);
+    void on_server_unreachable(std::string const& id,
+                               std::int64_t started_unix_ms);
+    void on_server_down(std::string const& id, std::int64_t started_unix_ms,
+                        time_point now);
     void on_server_metadata(std::string const& id,
                             answer_metadata const& metadata,
                             std::optional<time_point> sent_at);
--- a/src/libgateway/src/forwarded_request_failure.cpp
+++ b/src/libgateway/src/forwarded_request_failure.cpp
@@ -35,11 +35,10 @@
     }
     auto const& placement = current_send_->placement;
     auto const& server = placement.backend_server;
-    auto* const health = context_.dispatcher.health_tracker_of(server);
     if (failure == http::call_failure::not_connected) {
-        context_.on_server_unreachable(server);
+        context_.on_server_unreachable(server, placement.started_unix_ms);
     } else if (failure != http::call_failure::malformed) {
-        if (health != nullptr) {
+        if (auto* const health = health_of_run()) {
             health->on_connection_lost(now);
         }
         context_.dispatcher.crashes().on_connection_lost(
@@ -53,6 +52,24 @@
                         name_of(failure));
 }
 
+/// \return false if what is known by the id of the backend server that has the
+///     request is of a later run of it, or if it is no longer listed
+bool forwarded_request::is_of_listed_run() const
+{
+    auto const& placement = current_send_->placement;
+    return context_.dispatcher.is_listed_run(placement.backend_server,
+                                             placement.started_unix_ms);
+}
+
+/// \return health of the run that has the request; nullptr if another one or
+///     none is listed
+dispatch::server_health* forwarded_request::health_of_run() const
+{
+    return is_of_listed_run() ? context_.dispatcher.health_tracker_of(
+                                    current_send_->placement.backend_server)
+                              : nullptr;
+}
+
 /// The backend server that has the request has not answered as it should.
 void forwarded_request::note_path_failure(time_point now)
 {
--- a/src/libgateway/src/forwarded_request_relay.cpp
+++ b/src/libgateway/src/forwarded_request_relay.cpp
@@ -35,9 +35,11 @@
 
 void forwarded_request::on_interim_head(http::response_head const& head)
 {
-    context_.on_server_metadata(current_send_->placement.backend_server,
-                                context_.protocol.parse_answer(head),
-                                std::nullopt);
+    if (is_of_listed_run()) {
+        context_.on_server_metadata(current_send_->placement.backend_server,
+                                    context_.protocol.parse_answer(head),
+                                    std::nullopt);
+    }
 }
 
 void forwarded_request::on_head(http::response_head& head)
@@ -58,18 +60,21 @@
     }
     auto const misdirected = head.status == misdirected_request;
     auto const rejected = metadata.rejected || misdirected;
-    if (!misdirected &&
-        !from_peer) { // Otherwise another backend server has answered.
-        context_.on_server_metadata(
-            server, metadata,
-            rejected ? std::nullopt
-                     : std::optional{current_send_->reservation.sent_at});
-    }
-    if (metadata.load) {
-        context_.dispatcher.on_load_report(server, *metadata.load, now);
-    }
-    if (auto* const health = context_.dispatcher.health_tracker_of(server)) {
-        health->on_data_received();
+    if (is_of_listed_run()) {
+        if (!misdirected &&
+            !from_peer) { // Otherwise another backend server has answered.
+            context_.on_server_metadata(
+                server, metadata,
+                rejected ? std::nullopt
+                         : std::optional{current_send_->reservation.sent_at});
+        }
+        if (metadata.load) {
+            context_.dispatcher.on_load_report(server, *metadata.load, now);
+        }
+        auto* const health = context_.dispatcher.health_tracker_of(server);
+        if (health != nullptr) {
+            health->on_data_received();
+        }
     }
     current_send_->rejected = rejected;
     if (rejected) {
--- a/src/libgateway/src/forwarded_request_silence.cpp
+++ b/src/libgateway/src/forwarded_request_silence.cpp
@@ -57,8 +57,6 @@
         return;
     }
     auto const silence = now - current_send_->last_progress_at;
-    auto* const health = context_.dispatcher.health_tracker_of(
-        current_send_->placement.backend_server);
     auto const expected = milliseconds{static_cast<std::int64_t>(
         current_send_->placement.expected_first_event)};
     auto const suspicious_silence =
@@ -69,10 +67,11 @@
         return;
     }
     note_path_failure(now);
+    auto* const health = health_of_run();
     if (health != nullptr) {
         health->on_no_data(now);
     }
-    // A server that has left the list has no health record. It is not known to
+    // A run that has left the list has no health record. It is not known to
     // be down, and may still serve what it has begun.
     auto const down =
         health != nullptr && health->state() == dispatch::health::down;
--- a/src/libgateway/src/gateway_paths.cpp
+++ b/src/libgateway/src/gateway_paths.cpp
@@ -130,16 +130,21 @@
     }
 }
 
-/// Called when a backend server was found down. If its connections may have
-/// been lost with the path of this daemon, the requests that they carried are
-/// not blamed before that is known.
-void gateway::on_server_down(std::string const& id, time_point now)
+/// Called when a run of a backend server was found down. If its connections may
+/// have been lost with the path of this daemon, the requests that they carried
+/// are not blamed before that is known.
+void gateway::on_server_down(std::string const& id,
+                             std::int64_t started_unix_ms, time_point now)
 {
-    pool_.close_idle(id);
     auto const* const entry = dispatcher_.find_entry(id);
-    auto const service = entry != nullptr ? entry->service : "";
-    held_loss found{id, entry != nullptr ? entry->started_unix_ms : 0, now};
-    if (peers_reach(service, now)) {
+    if (entry == nullptr) {
+        return; // It has left the list, and may have ended as planned.
+    }
+    if (entry->started_unix_ms == started_unix_ms) {
+        pool_.close_idle(id);
+    }
+    held_loss found{id, started_unix_ms, now};
+    if (peers_reach(entry->service, now)) {
         held_losses_.push_back(std::move(found));
         return;
     }
--- a/src/libgateway/src/gateway_upkeep.cpp
+++ b/src/libgateway/src/gateway_upkeep.cpp
@@ -149,31 +149,40 @@
     auto const address = parse_endpoint(entry.address);
     if (service == nullptr || !address) {
         on_probe_result(entry.id, false, "unknown");
+        on_server_down(entry.id, entry.started_unix_ms, monotonic_clock::now());
         return;
     }
     constexpr milliseconds probe_timeout{600};
     send_internal_call(*address, {"GET", service->health_path, {}},
                        probe_timeout,
-                       [this, id = entry.id](http::response const& response) {
-                           evaluate_probe(id, response);
+                       [this, id = entry.id, started = entry.started_unix_ms](
+                           http::response const& response) {
+                           evaluate_probe(id, started, response);
                        });
 }
 
 void gateway::evaluate_probe(std::string const& id,
+                             std::int64_t started_unix_ms,
                              http::response const& answer)
 {
     auto const facts = adapter_.protocol.parse_answer(answer.head);
     note_probe_path(id, answer.head.status != no_response,
                     monotonic_clock::now());
-    if (facts.backend_server.value_or(id) == id) {
-        on_server_metadata(id, facts, std::nullopt);
+    auto const answered = answer.head.status != no_response;
+    auto const is_other = facts.backend_server.value_or(id) != id;
+    auto const good = answer.head.status == http_ok && !is_other;
+    auto const* reason = is_other ? "other_server" : "answered";
+    if (!answered) {
+        reason = "silent";
     }
-    if (answer.head.status == no_response) {
-        on_probe_result(id, false, "silent");
-    } else if (facts.backend_server && *facts.backend_server != id) {
-        on_probe_result(id, false, "other_server");
-    } else {
-        on_probe_result(id, answer.head.status == http_ok, "answered");
+    if (dispatcher_.is_listed_run(id, started_unix_ms)) {
+        if (!is_other) {
+            on_server_metadata(id, facts, std::nullopt);
+        }
+        on_probe_result(id, good, reason);
+    }
+    if (!good) {
+        on_server_down(id, started_unix_ms, monotonic_clock::now());
     }
 }
 
@@ -190,21 +199,21 @@
         state->on_probe_succeeded(now);
     } else {
         state->on_probe_failed(now);
-        on_server_down(id, now);
     }
     log_health_change(id, before, state->state(), reason);
 }
 
-void gateway::on_server_unreachable(std::string const& id)
+void gateway::on_server_unreachable(std::string const& id,
+                                    std::int64_t started_unix_ms)
 {
     auto const now = monotonic_clock::now();
+    on_server_down(id, started_unix_ms, now);
     auto* const state = dispatcher_.health_tracker_of(id);
-    if (state == nullptr) {
+    if (state == nullptr || !dispatcher_.is_listed_run(id, started_unix_ms)) {
         return;
     }
     auto const before = state->state();
     state->on_unreachable(now);
-    on_server_down(id, now);
     log_health_change(id, before, state->state(), "not_connected");
 }
 
--- a/tests/libgateway/restarted_servers_test.cpp
+++ b/tests/libgateway/restarted_servers_test.cpp
@@ -20,6 +20,8 @@
 constexpr std::uint64_t first_start_unix_ms = 1700000000000;
 /// Longer than a gateway waits before it probes a backend server.
 constexpr auto probe_time = 600ms;
+/// Longer than a gateway takes to write its log.
+constexpr auto log_time = 300ms;
 
 /// Sends a request that the first backend server holds.
 std::shared_ptr<caller_answer> send_held(ready_gateway_fixture& world)
@@ -34,6 +36,46 @@
 
 BOOST_AUTO_TEST_SUITE(restarted_servers_suite)
 
+// The answer arrives after the entry of the next run was read.
+BOOST_AUTO_TEST_CASE(the_next_run_counts_as_leaving_as_the_run_before_did)
+{
+    ready_gateway_fixture world{1};
+    auto const held = send_held(world);
+    world.list_next_run();
+    world.servers[0]->leave();
+    world.servers[0]->release_held();
+    BOOST_REQUIRE(world.run_until([&held] { return held->ended(); }));
+    BOOST_TEST(held->status == 200);
+    BOOST_TEST(world.send_and_wait(0, "POST", "/once/a", "next").status == 200);
+}
+
+// The same for a rate limit, which all daemons would be told of.
+BOOST_AUTO_TEST_CASE(the_next_run_has_the_rate_limit_of_the_run_before)
+{
+    ready_gateway_fixture world{1};
+    auto const held = send_held(world);
+    world.list_next_run();
+    world.servers[0]->limit_rate("0.1");
+    world.servers[0]->release_held();
+    BOOST_REQUIRE(world.run_until([&held] { return held->ended(); }));
+    world.run_for(log_time);
+    BOOST_TEST(world.log_text().find("rate_limit") == std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(the_next_run_is_suspect_as_the_run_before_lost_connections)
+{
+    ready_gateway_fixture world{1};
+    auto const held = send_held(world);
+    // The next run has another address, and never loses a connection.
+    world.servers.push_back(std::make_unique<platform_standins::server_standin>(
+        world.context, "i-0"));
+    world.list_next_run(1);
+    world.servers[0]->crash();
+    BOOST_REQUIRE(world.run_until([&held] { return held->ended(); }));
+    world.run_for(probe_time);
+    BOOST_TEST(world.servers[1]->arrivals() == 0U);
+}
+
 // Other daemons, which have not read the entry of the next run, report it with
 // another id, so that one crash counts twice.
 BOOST_AUTO_TEST_CASE(a_crash_is_reported_as_one_of_the_next_run)
