Do not take a reset for a crash because a probe is rejected

What callers saw: nothing at once. After a mere reset of its connections, a request was counted as one that had crashed its server.

Cause: a lost connection makes the server suspect, which is then probed. Any probe without status 200 counted as a crash, also one that the server itself had answered, for example with 503 since it had no free slot. The same held where no probe could be sent, as its service or address was not known.

Change: only no answer, or an answer of another server, is evidence of a crash. Health is as before: the server still counts as down after such a probe.

Limit: a probe that gets no answer within 600 ms still counts, though a server with a long queue may merely be slow to answer it.

--- a/src/libgateway/src/gateway_upkeep.cpp
+++ b/src/libgateway/src/gateway_upkeep.cpp
@@ -149,7 +149,6 @@
     auto const address = parse_endpoint(entry.address);
     if (service == nullptr || !address) {
         on_probe_result(entry.id, false, "unknown");
-        on_server_down(entry.id, entry.started_unix_ms, monotonic_clock::now());
         return;
     }
     constexpr milliseconds probe_timeout{600};
@@ -181,7 +180,8 @@
         }
         on_probe_result(id, good, reason);
     }
-    if (!good) {
+    // A run that answers has not crashed, even if it rejects the probe.
+    if (!answered || is_other) {
         on_server_down(id, started_unix_ms, monotonic_clock::now());
     }
 }
--- a/tests/libgateway/restarted_servers_test.cpp
+++ b/tests/libgateway/restarted_servers_test.cpp
@@ -94,4 +94,17 @@
                std::string::npos);
 }
 
+// A server without a free slot rejects the probe that follows a mere reset.
+BOOST_AUTO_TEST_CASE(a_reset_counts_as_a_crash_as_the_probe_is_rejected)
+{
+    ready_gateway_fixture world{1};
+    world.servers[0]->reject_health_checks();
+    world.servers[0]->script({.what = kind::cut});
+    BOOST_TEST(world.send_and_wait(0, "POST", "/once/a", "cut").status == 502);
+    world.run_for(probe_time);
+    auto const log = world.log_text();
+    BOOST_TEST(log.find("now=down") != std::string::npos);
+    BOOST_TEST(log.find("fingerprint=") == std::string::npos);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/platform_standins/include/medlarstall/platform_standins/server_standin.hpp
+++ b/tests/platform_standins/include/medlarstall/platform_standins/server_standin.hpp
@@ -92,6 +92,9 @@
     /// Says in all answers from now on that it leaves.
     void leave() { leaving_ = true; }
 
+    /// Rejects health checks from now on, as a server without a free slot does.
+    void reject_health_checks() { rejects_health_checks_ = true; }
+
     /// States a rate limit in all answers from now on.
     /// \param requests_per_second the limit as text; empty to state none
     void limit_rate(std::string requests_per_second)
@@ -141,6 +144,7 @@
     std::size_t abandoned_ = 0;
     std::vector<std::chrono::steady_clock::time_point> arrival_times_;
     bool leaving_ = false;
+    bool rejects_health_checks_ = false;
     std::string rate_limit_;
     std::string crashing_part_;
     std::optional<std::chrono::steady_clock::time_point> crashed_at_;
--- a/tests/platform_standins/src/server_standin.cpp
+++ b/tests/platform_standins/src/server_standin.cpp
@@ -74,7 +74,8 @@
     arrival_times_.push_back(std::chrono::steady_clock::now());
     auto const& headers = caller->head().headers;
     if (caller->head().target == "/healthz") {
-        caller->respond({head_for(*caller, 200), ""});
+        auto const status = rejects_health_checks_ ? 503 : 200;
+        caller->respond({head_for(*caller, status), ""});
         return;
     }
     auto const* const expected = headers.find("X-Expect-Instance");
