Drop prompt parts that an earlier run of a server has kept

What callers saw: a longer time to the first event where a prompt went to a server that was taken to keep its parts and had started again since.

Cause: the parts that a server or a peer lists for a daemon that has just started were merged by id. If the server had started again since, the next run was taken to keep them until they were the least recently used.

Ruled out: prompts that peers have just sent. Their note has no start on purpose: if its sender knows an older entry than this daemon, the prompt was more likely run by the next run than by the one before, which had ended earlier.

Change: a list of kept parts may state the start of the run that keeps them, as a third value; those of another run than the listed one are ignored. The answer to a request for kept parts is ignored if the entry of the next run was read meanwhile; no test covers this line.

Both ways: older daemons read the first two values of an item only; a missing third value means that the run is not known, and the parts are merged as before. Tests hold both.

--- a/src/libdispatch/include/medlarstall/dispatch/dispatcher.hpp
+++ b/src/libdispatch/include/medlarstall/dispatch/dispatcher.hpp
@@ -290,7 +290,8 @@
 
     /// Adds prompt parts whose prefill is done to the estimated cache of a
     /// backend server.
-    /// \param cached the backend server and the parts in its cache
+    /// \param cached the backend server and the parts in its cache; ignored if
+    ///     another run of it has them
     /// \param now current time
     void merge_parts(server_prompt_parts const& cached, time_point now);
 
--- a/src/libdispatch/include/medlarstall/dispatch/placement.hpp
+++ b/src/libdispatch/include/medlarstall/dispatch/placement.hpp
@@ -106,6 +106,9 @@
 {
     std::string backend_server;
     std::vector<prompt_part> parts;
+    /// Start of the run that has them, as stated by its entry in the list;
+    /// empty if not known.
+    std::optional<std::int64_t> started_unix_ms = std::nullopt;
 };
 
 /// Tells that a backend server has announced in an answer that it leaves. Holds
--- a/src/libdispatch/src/dispatcher.cpp
+++ b/src/libdispatch/src/dispatcher.cpp
@@ -416,7 +416,12 @@
     for (auto const& [id, record] : records_) {
         auto parts = record.cached_parts.parts_used_since(since);
         if (!parts.empty()) {
-            found.push_back({id, std::move(parts)});
+            server_prompt_parts cached{id, std::move(parts)};
+            auto const* const entry = find_entry(id);
+            if (entry != nullptr && entry->started_unix_ms != 0) {
+                cached.started_unix_ms = entry->started_unix_ms;
+            }
+            found.push_back(std::move(cached));
         }
     }
     return found;
@@ -425,7 +430,10 @@
 void dispatcher::merge_parts(server_prompt_parts const& cached, time_point now)
 {
     auto const found = records_.find(cached.backend_server);
-    if (found != records_.end()) {
+    auto const& started = cached.started_unix_ms;
+    auto const of_other_run =
+        started && !is_listed_run(cached.backend_server, *started);
+    if (found != records_.end() && !of_other_run) {
         prompt cached_prompt;
         cached_prompt.parts = cached.parts;
         found->second.cached_parts.add(cached_prompt, now, now);
--- a/src/libgateway/include/medlarstall/gateway/peer_update.hpp
+++ b/src/libgateway/include/medlarstall/gateway/peer_update.hpp
@@ -13,7 +13,8 @@
 
 namespace medlarstall::gateway {
 
-/// Parts of a prompt that a daemon has sent to a backend server.
+/// Parts of a prompt that a daemon has sent to a backend server, without the
+/// start of the run that has got it, or parts that a backend server has listed.
 using sent_prompt_parts = dispatch::server_prompt_parts;
 
 /// State that a daemon sends to its peers several times a second.
--- a/src/libgateway/src/gateway_parts.cpp
+++ b/src/libgateway/src/gateway_parts.cpp
@@ -133,7 +133,12 @@
     }
     send_internal_call(
         *address, {"GET", adapter_.backend_cached_parts_path, {}},
-        request_timeout, [this, id = entry.id](http::response const& response) {
+        request_timeout,
+        [this, id = entry.id,
+         started = entry.started_unix_ms](http::response const& response) {
+            if (!dispatcher_.is_listed_run(id, started)) {
+                return; // The next run keeps none of these parts.
+            }
             on_server_metadata(id,
                                adapter_.protocol.parse_answer(response.head),
                                std::nullopt);
@@ -141,7 +146,8 @@
             if (response.head.status != http_ok || failed(parts)) {
                 return;
             }
-            dispatch::server_prompt_parts const kept{id, value_of(parts)};
+            dispatch::server_prompt_parts const kept{id, value_of(parts),
+                                                     started};
             dispatcher_.merge_parts(kept, monotonic_clock::now());
             if (members_.live_members(monotonic_clock::now()).size() >
                 max_peers_asking_all) {
--- a/src/libgateway/src/gateway_peers.cpp
+++ b/src/libgateway/src/gateway_peers.cpp
@@ -193,6 +193,11 @@
     }
     dispatcher_.merge_loads(from, update.loads, now);
     for (auto const& note : update.prompts) {
+        if (note.started_unix_ms &&
+            !dispatcher_.is_listed_run(note.backend_server,
+                                       *note.started_unix_ms)) {
+            continue;
+        }
         dispatch::prompt prompt;
         prompt.parts = note.parts;
         dispatcher_.merge_prompt(note.backend_server, prompt, now);
--- a/src/libgateway/src/peer_update.cpp
+++ b/src/libgateway/src/peer_update.cpp
@@ -92,17 +92,24 @@
         parts.push_back(part.id);
         parts.push_back(part.tokens);
     }
-    return json::array({note.backend_server, std::move(parts)});
+    auto value = json::array({note.backend_server, std::move(parts)});
+    if (note.started_unix_ms) {
+        value.push_back(*note.started_unix_ms);
+    }
+    return value;
 }
 
 sent_prompt_parts prompt_from_json(json const& value)
 {
-    sent_prompt_parts note{value.at(0).get<std::string>(), {}};
+    sent_prompt_parts note{value.at(0).get<std::string>(), {}, std::nullopt};
     auto const& parts = value.at(1);
     for (std::size_t index = 0; index + 1 < parts.size(); index += 2) {
         note.parts.push_back({parts.at(index).get<std::uint64_t>(),
                               parts.at(index + 1).get<std::uint32_t>()});
     }
+    if (value.size() > 2) { // Daemons of an older version send no more.
+        note.started_unix_ms = value.at(2).get<std::int64_t>();
+    }
     return note;
 }
 
--- a/tests/libdispatch/adverse_load_test.cpp
+++ b/tests/libdispatch/adverse_load_test.cpp
@@ -241,4 +241,28 @@
     BOOST_TEST(old_daemon.parts_used_since(start).empty());
 }
 
+// A daemon that has not read the entry of the next run tells of the parts that
+// the run before has kept.
+BOOST_AUTO_TEST_CASE(parts_of_an_earlier_run_are_taken_for_cached)
+{
+    auto peer = make_dispatcher(1);
+    auto target = make_dispatcher(1);
+    auto entry = *peer.find_entry("server-0");
+    entry.started_unix_ms = 1;
+    peer.apply(entry, start);
+    send(peer, long_prompt_request(1, 1001), start);
+    entry.started_unix_ms = 2;
+    target.apply(entry, start);
+    auto const told = peer.parts_used_since(start - 30s);
+    BOOST_REQUIRE(told.size() == 1U);
+    target.merge_parts(told[0], start + 1s);
+    auto const wanted = long_prompt_request(1, 2001);
+    BOOST_TEST(target.choose(wanted, start + 2s)->cached_tokens == 0U);
+    auto without_start = told[0]; // As an older version sends it.
+    without_start.started_unix_ms.reset();
+    target.merge_parts(without_start, start + 2s);
+    BOOST_TEST(target.choose(wanted, start + 3s)->cached_tokens ==
+               shared_part_tokens);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/libgateway/gateway_components_test.cpp
+++ b/tests/libgateway/gateway_components_test.cpp
@@ -6,6 +6,7 @@
 #include <medlarstall/gateway/structured_log.hpp>
 
 #include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
 #include <rapidcheck/boost_test.h>
 
 #include <fcntl.h>
@@ -112,15 +113,37 @@
 BOOST_AUTO_TEST_CASE(kept_parts_survive_encoding_and_decoding)
 {
     std::vector<medlarstall::dispatch::server_prompt_parts> const kept = {
-        {"s", {{7, 100}, {8, 200}}}, {"t", {}}};
+        {"s", {{7, 100}, {8, 200}}, 1700000000000}, {"t", {}}};
     auto const read = decode_kept_parts(encode(kept));
     BOOST_REQUIRE(!failed(read));
     BOOST_TEST(value_of(read).size() == 2U);
     BOOST_TEST(value_of(read).at(0).backend_server == "s");
     BOOST_TEST(value_of(read).at(0).parts.at(1).tokens == 200U);
+    BOOST_TEST(value_of(read).at(0).started_unix_ms.value_or(0) ==
+               1700000000000);
+    BOOST_TEST(!value_of(read).at(1).started_unix_ms);
     BOOST_TEST(failed(decode_kept_parts("no CBOR")));
 }
 
+// Daemons of an older version read the first two values of each item, and send
+// no others.
+BOOST_AUTO_TEST_CASE(kept_parts_of_another_version_cannot_be_read)
+{
+    using json = nlohmann::json;
+    std::vector<medlarstall::dispatch::server_prompt_parts> const kept = {
+        {"s", {{7, 100}}, 1700000000000}};
+    auto sent = json::from_cbor(encode(kept));
+    BOOST_TEST(sent.at(0).at(0).get<std::string>() == "s");
+    BOOST_TEST((sent.at(0).at(1) == json::array({7, 100})));
+    sent.at(0).erase(2);
+    std::string bytes;
+    json::to_cbor(sent, bytes);
+    auto const read = decode_kept_parts(bytes);
+    BOOST_REQUIRE(!failed(read));
+    BOOST_TEST(value_of(read).at(0).parts.at(0).tokens == 100U);
+    BOOST_TEST(!value_of(read).at(0).started_unix_ms);
+}
+
 RC_BOOST_PROP(any_datagram_is_decoded_or_rejected, (std::string const& bytes))
 {
     std::ignore = decode_peer_update(bytes);
