Do not send requests of the next run over a connection to the one before

What callers saw: a request, and so the rest of a stream, that was placed at the next run of a server was run by the run before, which may be of another version.

Cause: the pool keeps idle connections by the id of the server. They are closed when the entry of the next run is read, but a connection that is in use then was put back when its answer was complete, and the next request for that id got it. X-Expect-Instance holds, as the id is the same.

Change: a connection is kept only if the request that used it was sent to the run that is listed now; another one is closed after its answer.

Why it works: a connection belongs to one process. Limit: if a process serves before its entry is written, connections to it from before are closed, too, which costs a new one each and no answer.

--- a/src/libgateway/include/medlarstall/gateway/forwarded_request.hpp
+++ b/src/libgateway/include/medlarstall/gateway/forwarded_request.hpp
@@ -231,6 +231,7 @@
     bool is_crashing(time_point now);
     void send_elsewhere(char const* reason);
     void leave_silent_server(time_point now);
+    void release_connection();
     bool may_retry_elsewhere();
     void log_failed_send(char const* reason, dispatch::next_step step);
     void end_send(dispatch::send_outcome outcome);
--- a/src/libgateway/src/forwarded_request_relay.cpp
+++ b/src/libgateway/src/forwarded_request_relay.cpp
@@ -210,8 +210,7 @@
         return;
     }
     if (current_send_->rejected) {
-        context_.pool.release(current_send_->placement.backend_server,
-                              current_send_->connection);
+        release_connection();
         on_rejected();
         return;
     }
@@ -219,16 +218,14 @@
     auto const failed = status >= first_server_error;
     auto const from_peer = !current_send_->peer.empty();
     if (failed && !from_peer && may_retry_elsewhere()) {
-        context_.pool.release(current_send_->placement.backend_server,
-                              current_send_->connection);
+        release_connection();
         send_elsewhere("server_error");
         return;
     }
     if (current_send_->mode == relay_mode::buffered &&
         caller_->response_started()) {
         // The rest of a stream was asked for, and this answer is no stream.
-        context_.pool.release(current_send_->placement.backend_server,
-                              current_send_->connection);
+        release_connection();
         end_send(dispatch::send_outcome::failed);
         handle_send_failure(dispatch::send_failure::outcome_unknown,
                             "no_stream");
@@ -247,8 +244,7 @@
         begin_relay();
         caller_->finish();
     }
-    context_.pool.release(current_send_->placement.backend_server,
-                          current_send_->connection);
+    release_connection();
     end_send(failed ? dispatch::send_outcome::failed
                     : dispatch::send_outcome::succeeded);
     context_.metrics.observe_total_time(name_of(request_.route->kind),
@@ -257,6 +253,19 @@
            failed ? log_category::failure : log_category::success);
 }
 
+/// Keeps the connection of the current send for other requests, unless it leads
+/// to an earlier run of its backend server, which may not have ended yet.
+void forwarded_request::release_connection()
+{
+    auto const from_peer = !current_send_->peer.empty();
+    if (from_peer || is_of_listed_run()) {
+        context_.pool.release(current_send_->placement.backend_server,
+                              current_send_->connection);
+    } else {
+        current_send_->connection->cancel();
+    }
+}
+
 /// Draws from the retry budget if the other conditions hold.
 /// \return true if a request that this backend server answered with an error
 ///     may be retried at another
--- a/tests/libgateway/restarted_servers_test.cpp
+++ b/tests/libgateway/restarted_servers_test.cpp
@@ -76,6 +76,23 @@
     BOOST_TEST(world.servers[1]->arrivals() == 0U);
 }
 
+// The run before still answers when the entry of the next one is read.
+BOOST_AUTO_TEST_CASE(a_request_for_the_next_run_goes_to_the_run_before)
+{
+    ready_gateway_fixture world{1};
+    auto const held = send_held(world);
+    world.servers.push_back(std::make_unique<platform_standins::server_standin>(
+        world.context, "i-0"));
+    world.list_next_run(1);
+    world.servers[0]->release_held();
+    BOOST_REQUIRE(world.run_until([&held] { return held->ended(); }));
+    BOOST_TEST(held->status == 200);
+    auto const before = world.servers[0]->runs().size();
+    BOOST_TEST(world.send_and_wait(0, "POST", "/once/a", "next").status == 200);
+    BOOST_TEST(world.servers[0]->runs().size() == before);
+    BOOST_TEST(world.servers[1]->runs().size() == 1U);
+}
+
 // Other daemons, which have not read the entry of the next run, report it with
 // another id, so that one crash counts twice.
 BOOST_AUTO_TEST_CASE(a_crash_is_reported_as_one_of_the_next_run)
