--- a/src/libdispatch/include/medlarstall/dispatch/placement.hpp
+++ b/src/libdispatch/include/medlarstall/dispatch/placement.hpp
@@ -43,6 +43,8 @@
     std::string backend_server;   ///< Id of the chosen backend server.
     std::string address;          ///< Its address, in the form IP:PORT.
     std::string software_version; ///< As stated by its entry in the list.
+    /// Start of its process, as stated by its entry in the list.
+    std::int64_t started_unix_ms = 0;
     /// Number of backend servers compared.
     std::size_t candidate_count = 0;
     /// Number of backend servers left out to keep to their rate limits.
@@ -61,8 +63,6 @@
     double in_flight = 0;      ///< Requests in flight there, as far as known.
     health state = health::up; ///< Its health when it was chosen.
     std::chrono::milliseconds entry_age{0}; ///< Age of its entry in the list.
-    /// Start of its process as stated by that entry; 0 if not stated.
-    std::int64_t entry_started_unix_ms = 0;
 };
 
 /// The load that a request in flight adds to its backend server. Kept with the
@@ -107,6 +107,9 @@
 {
     std::string backend_server;
     std::vector<prompt_part> parts;
+    /// Start of the run that has them, as stated by its entry in the list;
+    /// empty if not known.
+    std::optional<std::int64_t> started_unix_ms = std::nullopt;
 };
 
 /// Tells that a backend server has announced in an answer that it leaves. Holds
--- a/src/libdispatch/src/dispatcher_choice.cpp
+++ b/src/libdispatch/src/dispatcher_choice.cpp
@@ -272,6 +272,7 @@
             listing.entry.id,
             listing.entry.address,
             listing.entry.software_version,
+            listing.entry.started_unix_ms,
             0,
             0,
             adjusted_cost,
@@ -286,8 +287,7 @@
             evaluated.load.in_flight,
             record.health_tracker.state(),
             std::chrono::duration_cast<std::chrono::milliseconds>(
-                now - listing.updated_at),
-            listing.entry.started_unix_ms};
+                now - listing.updated_at)};
     }
     if (best) {
         best->candidate_count = candidates;
--- a/src/libgateway/include/medlarstall/gateway/gateway.hpp
+++ b/src/libgateway/include/medlarstall/gateway/gateway.hpp
@@ -145,6 +145,16 @@
     [[nodiscard]] gateway_settings const& settings() const { return settings_; }
 
 private:
+    /// A backend server that was found down while it was not known whether it
+    /// has crashed or its path is lost.
+    struct held_loss
+    {
+        std::string server;
+        /// When the run that was found down has started.
+        std::int64_t started_unix_ms;
+        time_point at;
+    };
+
     request_context make_request_context();
     http::server_events entry_events();
     /// \return callbacks of the readiness, directory, peer and metrics
@@ -222,10 +232,13 @@
     std::vector<unidentified_stream> streams_to_announce(time_point now);
     void send_probes(time_point now);
     void send_probe(dispatch::backend_server_entry const& entry);
-    void evaluate_probe(std::string const& id, http::response const& answer);
+    void evaluate_probe(std::string const& id, std::int64_t started_unix_ms,
+                        http::response const& answer);
     void on_probe_result(std::string const& id, bool good, char const* reason);
-    void on_server_unreachable(std::string const& id);
-    void on_server_down(std::string const& id, time_point now);
+    void on_server_unreachable(std::string const& id,
+                               std::int64_t started_unix_ms);
+    void on_server_down(std::string const& id, std::int64_t started_unix_ms,
+                        time_point now);
     void on_server_metadata(std::string const& id,
                             answer_metadata const& metadata,
                             std::optional<time_point> sent_at);
@@ -268,7 +281,7 @@
     void check_lost_paths(time_point now);
     void check_path(dispatch::backend_server_entry const& entry);
     void note_probe_path(std::string const& id, bool answered, time_point now);
-    void report_down(std::string const& id, time_point now);
+    void report_down(held_loss const& found, time_point now);
     void report_held_losses(time_point now);
     bool list_is_current(shared_read::number asked) const;
     bool store_is_away() const;
@@ -309,13 +322,6 @@
     };
     std::deque<announced_stream> unidentified_;
     dispatch::server_paths paths_;
-    /// A backend server that was found down while it was not known whether it
-    /// has crashed or its path is lost.
-    struct held_loss
-    {
-        std::string server;
-        time_point at;
-    };
     std::vector<held_loss> held_losses_;
     std::size_t path_checks_ = 0; ///< Number of checks of lost paths.
     /// What this daemon reads and writes of the records of streams.
--- a/src/libgateway/src/forwarded_request.cpp
+++ b/src/libgateway/src/forwarded_request.cpp
@@ -327,7 +327,7 @@
         .with("list_era", list_position.era)
         .with("list", list_position.offset)
         .with("entry_age", placement.entry_age)
-        .with("entry_started", placement.entry_started_unix_ms)
+        .with("entry_started", placement.started_unix_ms)
         .with("connection_age", connection_age(now))
         .with("waited", now - began_at_)
         .with("left", time_left(now));
--- a/src/libgateway/src/forwarded_request_relay.cpp
+++ b/src/libgateway/src/forwarded_request_relay.cpp
@@ -35,9 +35,11 @@
 
 void forwarded_request::on_interim_head(http::response_head const& head)
 {
-    context_.on_server_metadata(current_send_->placement.backend_server,
-                                context_.protocol.parse_answer(head),
-                                std::nullopt);
+    if (is_of_listed_run()) {
+        context_.on_server_metadata(current_send_->placement.backend_server,
+                                    context_.protocol.parse_answer(head),
+                                    std::nullopt);
+    }
 }
 
 void forwarded_request::on_head(http::response_head& head)
@@ -58,18 +60,21 @@
     }
     auto const misdirected = head.status == misdirected_request;
     auto const rejected = metadata.rejected || misdirected;
-    if (!misdirected &&
-        !from_peer) { // Otherwise another backend server has answered.
-        context_.on_server_metadata(
-            server, metadata,
-            rejected ? std::nullopt
-                     : std::optional{current_send_->reservation.sent_at});
-    }
-    if (metadata.load) {
-        context_.dispatcher.on_load_report(server, *metadata.load, now);
-    }
-    if (auto* const health = context_.dispatcher.health_tracker_of(server)) {
-        health->on_data_received();
+    if (is_of_listed_run()) {
+        if (!misdirected &&
+            !from_peer) { // Otherwise another backend server has answered.
+            context_.on_server_metadata(
+                server, metadata,
+                rejected ? std::nullopt
+                         : std::optional{current_send_->reservation.sent_at});
+        }
+        if (metadata.load) {
+            context_.dispatcher.on_load_report(server, *metadata.load, now);
+        }
+        auto* const health = context_.dispatcher.health_tracker_of(server);
+        if (health != nullptr) {
+            health->on_data_received();
+        }
     }
     current_send_->rejected = rejected;
     if (rejected) {
@@ -219,8 +224,7 @@
         return;
     }
     if (current_send_->rejected) {
-        context_.pool.release(current_send_->placement.backend_server,
-                              current_send_->connection);
+        release_connection();
         on_rejected();
         return;
     }
@@ -228,16 +232,14 @@
     auto const failed = status >= first_server_error;
     auto const from_peer = !current_send_->peer.empty();
     if (failed && !from_peer && may_retry_elsewhere()) {
-        context_.pool.release(current_send_->placement.backend_server,
-                              current_send_->connection);
+        release_connection();
         send_elsewhere("server_error");
         return;
     }
     if (current_send_->mode == relay_mode::buffered &&
         caller_->response_started()) {
         // The rest of a stream was asked for, and this answer is no stream.
-        context_.pool.release(current_send_->placement.backend_server,
-                              current_send_->connection);
+        release_connection();
         end_send(dispatch::send_outcome::failed);
         handle_send_failure(dispatch::send_failure::outcome_unknown,
                             "no_stream");
@@ -256,8 +258,7 @@
         begin_relay();
         caller_->finish();
     }
-    context_.pool.release(current_send_->placement.backend_server,
-                          current_send_->connection);
+    release_connection();
     end_send(failed ? dispatch::send_outcome::failed
                     : dispatch::send_outcome::succeeded);
     context_.metrics.observe_total_time(name_of(request_.route->kind),
@@ -266,6 +267,19 @@
            failed ? log_category::failure : log_category::success);
 }
 
+/// Keeps the connection of the current send for other requests, unless it leads
+/// to an earlier run of its backend server, which may not have ended yet.
+void forwarded_request::release_connection()
+{
+    auto const from_peer = !current_send_->peer.empty();
+    if (from_peer || is_of_listed_run()) {
+        context_.pool.release(current_send_->placement.backend_server,
+                              current_send_->connection);
+    } else {
+        current_send_->connection->cancel();
+    }
+}
+
 /// Draws from the retry budget if the other conditions hold.
 /// \return true if a request that this backend server answered with an error
 ///     may be retried at another
--- a/src/libgateway/src/gateway_paths.cpp
+++ b/src/libgateway/src/gateway_paths.cpp
@@ -130,19 +130,25 @@
     }
 }
 
-/// Called when a backend server was found down. If its connections may have
-/// been lost with the path of this daemon, the requests that they carried are
-/// not blamed before that is known.
-void gateway::on_server_down(std::string const& id, time_point now)
+/// Called when a run of a backend server was found down. If its connections may
+/// have been lost with the path of this daemon, the requests that they carried
+/// are not blamed before that is known.
+void gateway::on_server_down(std::string const& id,
+                             std::int64_t started_unix_ms, time_point now)
 {
-    pool_.close_idle(id);
     auto const* const entry = dispatcher_.find_entry(id);
-    auto const service = entry != nullptr ? entry->service : "";
-    if (peers_reach(service, now)) {
-        held_losses_.push_back({id, now});
+    if (entry == nullptr) {
+        return; // It has left the list, and may have ended as planned.
+    }
+    if (entry->started_unix_ms == started_unix_ms) {
+        pool_.close_idle(id);
+    }
+    held_loss found{id, started_unix_ms, now};
+    if (peers_reach(entry->service, now)) {
+        held_losses_.push_back(std::move(found));
         return;
     }
-    report_down(id, now);
+    report_down(found, now);
 }
 
 /// Reports held losses as crashes once another backend server of the service
@@ -154,7 +160,7 @@
         auto const* const entry = dispatcher_.find_entry(loss.server);
         auto const service = entry != nullptr ? entry->service : "";
         if (paths_.had_contact_since(service, loss.at)) {
-            report_down(loss.server, now);
+            report_down(loss, now);
         } else if (now - loss.at < max_loss_hold) {
             held_losses_.push_back(loss);
         } else {
@@ -166,13 +172,12 @@
     }
 }
 
-void gateway::report_down(std::string const& id, time_point now)
+void gateway::report_down(held_loss const& found, time_point now)
 {
-    auto const* const entry = dispatcher_.find_entry(id);
-    auto const started = entry != nullptr ? entry->started_unix_ms : 0;
-    for (auto& note : dispatcher_.crashes().on_server_down(id, started, now)) {
+    for (auto& note : dispatcher_.crashes().on_server_down(
+             found.server, found.started_unix_ms, now)) {
         log_entry{log_, log_category::state_change, "crash"}
-            .with("server", id)
+            .with("server", found.server)
             .with("fingerprint", note.request)
             .with("crash", note.crash_id)
             .with("parts", join(note.parts))
--- a/tests/platform_standins/include/medlarstall/platform_standins/server_standin.hpp
+++ b/tests/platform_standins/include/medlarstall/platform_standins/server_standin.hpp
@@ -72,6 +72,9 @@
     /// \param part id of the part as requests state it
     void crash_on(std::string part) { crashing_part_ = std::move(part); }
 
+    /// Breaks off all answers, and refuses connections from now on.
+    void crash();
+
     /// \return when it has crashed; empty if it has not
     [[nodiscard]] std::optional<std::chrono::steady_clock::time_point>
     crashed_at() const
@@ -98,6 +101,9 @@
     /// Says in all answers from now on that it leaves.
     void leave() { leaving_ = true; }
 
+    /// Rejects health checks from now on, as a server without a free slot does.
+    void reject_health_checks() { rejects_health_checks_ = true; }
+
     /// States a rate limit in all answers from now on.
     /// \param requests_per_second the limit as text; empty to state none
     void limit_rate(std::string requests_per_second)
@@ -135,7 +141,6 @@
 private:
     void on_request(std::unique_ptr<http::exchange> caller);
     bool crashes_it(http::exchange& caller) const;
-    void crash(http::exchange& caller);
     void report_state(http::exchange& caller) const;
     void send_events(http::exchange& caller, std::uint64_t count);
     http::response_head head_for(http::exchange& caller, int status) const;
@@ -151,6 +156,7 @@
     std::int64_t started_unix_ms_ = 1700000000000;
     bool states_start_ = true;
     bool leaving_ = false;
+    bool rejects_health_checks_ = false;
     std::string rate_limit_;
     std::string crashing_part_;
     std::optional<std::chrono::steady_clock::time_point> crashed_at_;
--- a/tests/platform_standins/src/server_standin.cpp
+++ b/tests/platform_standins/src/server_standin.cpp
@@ -78,12 +78,10 @@
                std::string::npos;
 }
 
-/// Breaks off all answers, and refuses connections from now on.
-void server_standin::crash(http::exchange& caller)
+void server_standin::crash()
 {
     crashed_at_ = std::chrono::steady_clock::now();
     listener_.close();
-    caller.abort();
     for (auto const& held : std::exchange(held_, {})) {
         held->abort();
     }
@@ -98,7 +96,8 @@
     arrival_times_.push_back(std::chrono::steady_clock::now());
     auto const& headers = caller->head().headers;
     if (caller->head().target == "/healthz") {
-        caller->respond({head_for(*caller, 200), ""});
+        auto const status = rejects_health_checks_ ? 503 : 200;
+        caller->respond({head_for(*caller, status), ""});
         return;
     }
     if (caller->head().target == "/api/report") {
@@ -134,7 +133,8 @@
         return;
     }
     if (crashes_it(*caller)) {
-        crash(*caller);
+        crash();
+        caller->abort();
         return;
     }
     switch (next.what) {
