Count no late write, late read or unanswered query as proof of a process

The end of a connection was taken as of the time of its reading, a write as of the time of its execution, buffered bytes as sent just now. Change: an end that is read after a pause of the event loop or of reading is complete only by a connection of before; only the latest process can be found to run on; the time of the read before counts, and none after a pause of reading; a start of 0 is unknown; a start that the server states itself may be lower than one that it stated before; a query without an answer is made again soon, and does not end the wait; the version of a stated start is taken from the entry that is known. The test that counts the connections of ends begins to count once the query for the start has been made: that connection is not one of the check, and the bound is the same.

--- a/src/libdispatch/include/medlarstall/dispatch/answer_end_check.hpp
+++ b/src/libdispatch/include/medlarstall/dispatch/answer_end_check.hpp
@@ -35,6 +35,17 @@
 /// \return name of the enumerator, as it stands in log records
 [[nodiscard]] char const* name_of(answer_end_evidence evidence);
 
+/// An answer that has ended with its connection.
+struct answer_end
+{
+    time_point read_at; ///< When the end was read.
+    /// Time at which the process of the server was certainly running.
+    time_point running_at;
+    /// The connection may have ended well before its end was read, so that the
+    /// server may have started again meanwhile.
+    bool is_late = false;
+};
+
 /// Whether an answer that ended with its connection is complete.
 struct answer_end_decision
 {
@@ -62,9 +73,9 @@
     {}
 
     /// Called when an answer has ended with its connection.
-    /// \param now current time
+    /// \param end the end
     /// \return number of the end
-    std::uint64_t add(time_point now);
+    std::uint64_t add(answer_end const& end);
 
     /// Called when a connection for this check begins to be opened.
     void on_connecting() { connecting_ = true; }
@@ -98,11 +109,11 @@
 
 private:
     std::optional<answer_end_decision>
-    decide(time_point end, std::optional<time_point> oldest_other,
+    decide(answer_end const& end, std::optional<time_point> oldest_other,
            time_point now) const;
 
     answer_end_settings settings_;
-    std::map<std::uint64_t, time_point> ends_;
+    std::map<std::uint64_t, answer_end> ends_;
     std::uint64_t last_number_ = 0;
     bool connecting_ = false;
     /// When the connection for this check was established, while it is open.
--- a/src/libdispatch/include/medlarstall/dispatch/server_processes.hpp
+++ b/src/libdispatch/include/medlarstall/dispatch/server_processes.hpp
@@ -26,7 +26,8 @@
 struct connection_span
 {
     time_point opened_at;
-    time_point last_received_at; ///< Not earlier than opened_at.
+    /// Time at which the process was certainly running; not before opened_at.
+    time_point last_received_at;
 };
 
 /// Knows which process of a backend server was at the other end of a
@@ -95,14 +96,16 @@
     };
     struct known_server
     {
-        /// Ordered by start. The last one may be the present one.
+        /// In the order in which they ran. The last one may be the present
+        /// one; only of that one it can become known that it still runs.
         std::vector<known_process> processes;
         time_point lost_at = time_point::min(); ///< Last lost connection.
         time_point touched_at;
     };
 
-    known_process* ensure_process(known_server& server,
-                                  std::int64_t started_unix_ms, time_point now);
+    static known_process* ensure_process(known_server& server,
+                                         std::int64_t started_unix_ms,
+                                         bool is_present, time_point now);
 
     std::map<std::string, known_server, std::less<>> servers_;
 };
--- a/src/libdispatch/src/answer_end_check.cpp
+++ b/src/libdispatch/src/answer_end_check.cpp
@@ -20,9 +20,9 @@
     return "unknown";
 }
 
-std::uint64_t answer_end_check::add(time_point now)
+std::uint64_t answer_end_check::add(answer_end const& end)
 {
-    ends_.emplace(++last_number_, now);
+    ends_.emplace(++last_number_, end);
     return last_number_;
 }
 
@@ -46,12 +46,22 @@
 }
 
 std::optional<answer_end_decision>
-answer_end_check::decide(time_point end, std::optional<time_point> oldest_other,
+answer_end_check::decide(answer_end const& ended,
+                         std::optional<time_point> oldest_other,
                          time_point now) const
 {
     using enum answer_end_evidence;
+    auto const end = ended.read_at;
     auto const age = now - end;
-    auto const has_older = oldest_other && *oldest_other <= end;
+    // A connection of the same process, in any case.
+    auto const same_process = [&ended](std::optional<time_point> opened_at) {
+        return opened_at &&
+               *opened_at <= (ended.is_late ? ended.running_at : ended.read_at);
+    };
+    auto const has_older = same_process(oldest_other);
+    if (ended.is_late && !has_older && !same_process(connected_at_)) {
+        return answer_end_decision{.age = age};
+    }
     if (has_older && age >= settings_.closing_time) {
         return answer_end_decision{.complete = true,
                                    .evidence = older_connection,
@@ -103,7 +113,7 @@
 {
     return !connecting_ && !connected_at_ &&
            std::ranges::any_of(ends_, [&](auto const& item) {
-               return !oldest_other || *oldest_other > item.second;
+               return !oldest_other || *oldest_other > item.second.read_at;
            });
 }
 
--- a/src/libdispatch/src/server_processes.cpp
+++ b/src/libdispatch/src/server_processes.cpp
@@ -16,10 +16,11 @@
 } // namespace
 
 /// \return the process with that start; nullptr if it is an earlier one than
-///     those that are known
+///     those that are known, and not certainly the present one
 server_processes::known_process*
 server_processes::ensure_process(known_server& server,
-                                 std::int64_t started_unix_ms, time_point now)
+                                 std::int64_t started_unix_ms, bool is_present,
+                                 time_point now)
 {
     auto& processes = server.processes;
     auto const same = std::ranges::find_if(processes, [&](auto const& known) {
@@ -29,7 +30,7 @@
     if (same != processes.end()) {
         return &*same;
     }
-    if (!processes.empty() &&
+    if (!processes.empty() && !is_present &&
         processes.back().process.started_unix_ms > started_unix_ms) {
         return nullptr;
     }
@@ -44,14 +45,20 @@
                                 std::optional<time_point> written_after,
                                 time_point now)
 {
+    if (entry.started_unix_ms == 0) {
+        return false; // Starts that are not stated cannot be told apart.
+    }
     auto& server = servers_[entry.id];
-    auto* const known = ensure_process(server, entry.started_unix_ms, now);
+    auto* const known =
+        ensure_process(server, entry.started_unix_ms, false, now);
     if (known == nullptr) {
         return false;
     }
     auto const is_new = known->process.software_version.empty();
     known->process.software_version = entry.software_version;
-    if (!written_after || *written_after <= known->running_at) {
+    // The store may execute a write after its sender has ended.
+    auto const is_latest = known == &server.processes.back();
+    if (!is_latest || !written_after || *written_after <= known->running_at) {
         return is_new;
     }
     known->running_at = *written_after;
@@ -62,8 +69,12 @@
                                  std::int64_t started_unix_ms,
                                  time_point asked_at, time_point now)
 {
-    auto* const known = ensure_process(servers_[id], started_unix_ms, now);
-    if (known != nullptr) {
+    auto& server = servers_[id];
+    auto const is_present = server.processes.empty() ||
+                            server.processes.back().running_at < asked_at;
+    auto* const known =
+        ensure_process(server, started_unix_ms, is_present, now);
+    if (known != nullptr && known == &server.processes.back()) {
         known->running_at = std::max(known->running_at, asked_at);
     }
 }
@@ -73,13 +84,12 @@
                                    time_point running_at)
 {
     auto const server = servers_.find(id);
-    if (server == servers_.end()) {
+    if (server == servers_.end() || server->second.processes.empty()) {
         return;
     }
-    for (auto& known : server->second.processes) {
-        if (known.process.started_unix_ms == process.started_unix_ms) {
-            known.running_at = std::max(known.running_at, running_at);
-        }
+    auto& latest = server->second.processes.back();
+    if (latest.process.started_unix_ms == process.started_unix_ms) {
+        latest.running_at = std::max(latest.running_at, running_at);
     }
 }
 
--- a/src/libgateway/include/medlarstall/gateway/answer_end_checks.hpp
+++ b/src/libgateway/include/medlarstall/gateway/answer_end_checks.hpp
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -28,13 +29,17 @@
     /// \param pool connections to the servers; outlives this object
     answer_end_checks(asio::io_context& context, connection_pool& pool);
 
+    /// Called often while the event loop runs, so that its pauses are noticed.
+    /// \param now current time
+    void note_running(time_point now);
+
     /// Checks the end of an answer. Its connection must be closed already.
     /// \param server id of the server, as the pool knows it
-    /// \param address address at which the answer came
+    /// \param ended the connection that carried the answer
     /// \param decided called once with the decision, unless this object is
     ///     destroyed before
     void check(std::string const& server,
-               asio::ip::tcp::endpoint const& address, handler decided);
+               http::upstream_connection const& ended, handler decided);
 
     /// Decides all ends as incomplete, for example after the instance was
     /// suspended, since connections that seem open may have been closed.
@@ -64,6 +69,8 @@
     asio::steady_timer timer_;
     std::map<server_key, server_check> checks_;
     bool scheduled_ = false;
+    time_point running_at_;                ///< When the event loop last ran.
+    std::optional<time_point> stalled_at_; ///< End of its last long pause.
 };
 
 } // namespace medlarstall::gateway
--- a/src/libgateway/include/medlarstall/gateway/gateway.hpp
+++ b/src/libgateway/include/medlarstall/gateway/gateway.hpp
@@ -225,6 +225,8 @@
                      asio::ip::tcp::endpoint const& address, time_point now);
     void on_process_answer(std::string const& id, time_point asked_at,
                            internal_outcome const& answer);
+    void note_stated_start(std::string const& id, std::int64_t started,
+                           time_point asked_at, time_point now);
     bool process_may_be_found(std::string const& id,
                               stream_break const& at) const;
     void announce_unidentified(std::uint64_t stream,
--- a/src/libgateway/include/medlarstall/gateway/process_queries.hpp
+++ b/src/libgateway/include/medlarstall/gateway/process_queries.hpp
@@ -14,9 +14,10 @@
 /// How a backend server has answered the question when its process started.
 enum class query_outcome
 {
-    stated,  ///< It has stated the time.
-    refused, ///< No connection could be established.
-    unstated ///< It has answered without the time, or has not answered.
+    stated,    ///< It has stated the time.
+    refused,   ///< No connection could be established.
+    unstated,  ///< It has answered without the time.
+    unanswered ///< It was not asked, or has not answered.
 };
 
 /// \param outcome outcome to name
--- a/src/libgateway/src/answer_end_checks.cpp
+++ b/src/libgateway/src/answer_end_checks.cpp
@@ -12,6 +12,9 @@
 
 /// Time between two looks at the connections to the servers.
 constexpr std::chrono::milliseconds check_interval{10};
+/// After a longer pause of the event loop, what is read may have come long ago.
+/// Longer than the interval of the calls of note_running().
+constexpr std::chrono::milliseconds max_loop_pause{250};
 
 } // namespace
 
@@ -21,17 +24,30 @@
 {}
 
 void answer_end_checks::check(std::string const& server,
-                              asio::ip::tcp::endpoint const& address,
+                              http::upstream_connection const& ended,
                               handler decided)
 {
-    server_key const key{server, address};
+    auto const now = monotonic_clock::now();
+    note_running(now);
+    server_key const key{server, ended.address()};
     auto& check = checks_[key];
-    auto const number = check.ends.add(monotonic_clock::now());
+    auto const was_stalled =
+        stalled_at_ && now - *stalled_at_ <= max_loop_pause;
+    auto const number = check.ends.add(
+        {now, ended.previous_activity(), was_stalled || ended.was_paused()});
     check.handlers.emplace(number, std::move(decided));
     update(key);
     schedule();
 }
 
+void answer_end_checks::note_running(time_point now)
+{
+    if (now - running_at_ > max_loop_pause) {
+        stalled_at_ = now;
+    }
+    running_at_ = now;
+}
+
 void answer_end_checks::give_up()
 {
     auto const abandoned = std::exchange(checks_, {});
--- a/src/libgateway/src/forwarded_request_channel_end.cpp
+++ b/src/libgateway/src/forwarded_request_channel_end.cpp
@@ -20,8 +20,7 @@
     context_.dispatcher.on_answer_ended(current_send_->reservation,
                                         monotonic_clock::now());
     context_.answer_ends.check(
-        current_send_->placement.backend_server,
-        current_send_->connection->address(),
+        current_send_->placement.backend_server, *current_send_->connection,
         [weak = weak_from_this(), number = current_send_->number](
             dispatch::answer_end_decision const& decision) {
             auto const self = weak.lock();
--- a/src/libgateway/src/forwarded_request_process.cpp
+++ b/src/libgateway/src/forwarded_request_process.cpp
@@ -14,7 +14,7 @@
 /// Other connections may identify the process of a stream without a query
 /// within this time after its first event. Also the time between two tries.
 constexpr milliseconds identification_delay{150};
-constexpr int max_identification_tries = 3;
+constexpr int max_identification_tries = 10;
 /// Longest wait until the process of a connection is identified. Longer than
 /// the interval at which backend servers write their entries.
 constexpr milliseconds max_identification_wait{1500};
@@ -37,7 +37,7 @@
     auto const& server = send.placement.backend_server;
     if (!send.process) {
         send.process = context_.processes.find(
-            server, {*connection.opened_at(), connection.last_activity()});
+            server, {*connection.opened_at(), connection.previous_activity()});
     }
     if (send.process) {
         context_.processes.on_received(server, *send.process,
@@ -55,7 +55,7 @@
     auto const is_first = !first_send_;
     auto const& connection = *current_send_->connection;
     first_send_ = {current_send_->placement.backend_server,
-                   {*connection.opened_at(), connection.last_activity()}};
+                   {*connection.opened_at(), connection.previous_activity()}};
     note_process();
     identify_origin();
     if (is_first && !origin_ && request_.route->resumable) {
@@ -71,7 +71,8 @@
     wait_timer_.async_wait(
         [weak = weak_from_this(), tries](std::error_code cancelled) {
             auto const self = weak.lock();
-            if (!self || cancelled || self->finished_ || self->origin_) {
+            if (!self || cancelled || self->finished_ || self->origin_ ||
+                self->held_failure_) {
                 return;
             }
             self->identify_origin();
@@ -171,7 +172,7 @@
         .with("entry_age", send.placement.entry_age)
         .with("bytes", send.body.size())
         .with("held", monotonic_clock::now() - *send.held_since);
-    end_send(dispatch::send_outcome::failed);
+    end_send(dispatch::send_outcome::cancelled);
     handle_send_failure(dispatch::send_failure::outcome_unknown, reason);
 }
 
--- a/src/libgateway/src/forwarded_request_silence.cpp
+++ b/src/libgateway/src/forwarded_request_silence.cpp
@@ -54,7 +54,7 @@
 void forwarded_request::check_silence(time_point now)
 {
     if (!current_send_ || finished_ || !current_send_->peer.empty() ||
-        current_send_->checks_end) {
+        current_send_->checks_end || current_send_->held_since) {
         return;
     }
     auto const silence = now - current_send_->last_progress_at;
--- a/src/libgateway/src/gateway_processes.cpp
+++ b/src/libgateway/src/gateway_processes.cpp
@@ -43,7 +43,7 @@
                           time_point now)
 {
     if (!dispatcher_.try_take_permit(id, now)) {
-        process_queries_.on_ended(id, query_outcome::stated, now);
+        process_queries_.on_ended(id, query_outcome::unanswered, now);
         return;
     }
     auto const connection = pool_.acquire(id, address, false, now);
@@ -60,18 +60,21 @@
                                 internal_outcome const& answer)
 {
     auto const now = monotonic_clock::now();
-    auto outcome = query_outcome::unstated;
+    auto outcome = query_outcome::unanswered;
     std::int64_t started = 0;
     if (answer.failure == http::call_failure::not_connected) {
         outcome = query_outcome::refused;
         processes_.on_connection_lost(id, now);
     } else if (answer.response.head.status == http_ok) {
         auto const stated = adapter_.parse_start_time(answer.response.body);
+        outcome = query_outcome::unstated;
         if (!failed(stated)) {
             outcome = query_outcome::stated;
             started = value_of(stated);
-            processes_.on_stated(id, started, asked_at, now);
+            note_stated_start(id, started, asked_at, now);
         }
+    } else if (answer.response.head.status != 0) {
+        outcome = query_outcome::unstated;
     }
     process_queries_.on_ended(id, outcome, now);
     metrics_.count_state_change(std::string{"process_"} + name_of(outcome));
@@ -85,6 +88,17 @@
     resume_take_ups();
 }
 
+/// The entry may have been read long ago.
+void gateway::note_stated_start(std::string const& id, std::int64_t started,
+                                time_point asked_at, time_point now)
+{
+    processes_.on_stated(id, started, asked_at, now);
+    auto const* const entry = dispatcher_.find_entry(id);
+    if (entry != nullptr && entry->started_unix_ms == started) {
+        processes_.on_entry(*entry, std::nullopt, now);
+    }
+}
+
 /// \return false if it cannot become known any more which process was at the
 ///     other end of a connection that ended then
 bool gateway::process_may_be_found(std::string const& id,
--- a/src/libgateway/src/gateway_upkeep.cpp
+++ b/src/libgateway/src/gateway_upkeep.cpp
@@ -64,6 +64,7 @@
     auto const now = monotonic_clock::now();
     detect_suspension();
     last_tick_at_ = now;
+    answer_ends_.note_running(now);
     for (auto* const listener :
          {&entry_listener_, &ready_listener_, &directory_listener_,
           &peer_listener_, &metrics_listener_}) {
--- a/src/libgateway/src/process_queries.cpp
+++ b/src/libgateway/src/process_queries.cpp
@@ -25,6 +25,8 @@
         return "refused";
     case query_outcome::unstated:
         return "unstated";
+    case query_outcome::unanswered:
+        return "unanswered";
     }
     return "unknown";
 }
@@ -61,9 +63,13 @@
 bool process_queries::ended_since(std::string_view id, time_point since) const
 {
     auto const found = queries_.find(id);
-    return found != queries_.end() && found->second.outcome &&
-           *found->second.outcome != query_outcome::unstated &&
-           found->second.ended_began_at >= since;
+    if (found == queries_.end()) {
+        return false;
+    }
+    auto const& last = found->second;
+    return (last.outcome == query_outcome::stated ||
+            last.outcome == query_outcome::refused) &&
+           last.ended_began_at >= since;
 }
 
 bool process_queries::is_unstated(std::string_view id) const
--- a/src/libhttp/include/medlarstall/http/upstream_connection.hpp
+++ b/src/libhttp/include/medlarstall/http/upstream_connection.hpp
@@ -85,7 +85,7 @@
     void cancel();
 
     /// Stops reading, so that TCP flow control slows the server down.
-    void pause() { channel_->pause(); }
+    void pause();
 
     /// Reads again after pause().
     void resume() { channel_->resume(); }
@@ -124,13 +124,17 @@
     }
 
     /// \return when bytes were read before last_activity(), or the connection
-    ///     was established. What arrived later may have waited in a buffer, but
-    ///     was sent after this time.
+    ///     was established. The server was still running at this time. Stands
+    ///     once reading was paused, as bytes may then wait in a buffer.
     [[nodiscard]] time_point previous_activity() const
     {
         return previous_activity_;
     }
 
+    /// \return true if reading was paused within the present call, so that
+    ///     bytes and the end of the connection may be read late
+    [[nodiscard]] bool was_paused() const { return was_paused_; }
+
     /// \return how long the server keeps an idle connection open, from the
     ///     timeout parameter of its Keep-Alive field; empty if it sent none
     [[nodiscard]] std::optional<std::chrono::seconds> keep_alive_timeout() const
@@ -184,6 +188,7 @@
     state state_ = state::unconnected;
     int unmatched_responses_ = 0;
     bool no_body_ = false;
+    bool was_paused_ = false; ///< Since the present call began.
     bool head_reported_ = false;
     bool unmatched_ = false;
     bool reusable_ = false;
--- a/src/libhttp/src/upstream_connection.cpp
+++ b/src/libhttp/src/upstream_connection.cpp
@@ -126,6 +126,7 @@
     head_reported_ = false;
     unmatched_ = false;
     reusable_ = false;
+    was_paused_ = false;
     parser_.reset({});
     if (no_body_) {
         parser_.expect_no_body();
@@ -138,7 +139,10 @@
 void upstream_connection::on_bytes(std::string_view bytes)
 {
     auto const self = shared_from_this();
-    previous_activity_ = std::exchange(last_activity_, monotonic_clock::now());
+    if (!was_paused_) {
+        previous_activity_ = last_activity_;
+    }
+    last_activity_ = monotonic_clock::now();
     if (state_ == state::idle) {
         on_closed({}); // The server sent bytes without a request.
         return;
@@ -278,6 +282,12 @@
     }
 }
 
+void upstream_connection::pause()
+{
+    was_paused_ = true;
+    channel_->pause();
+}
+
 void upstream_connection::cancel()
 {
     state_ = state::closed;
--- a/tests/libdispatch/answer_end_check_test.cpp
+++ b/tests/libdispatch/answer_end_check_test.cpp
@@ -28,7 +28,7 @@
 BOOST_AUTO_TEST_CASE(an_older_connection_proves_an_end_once_others_had_closed)
 {
     answer_end_check check{settings};
-    auto const number = check.add(start);
+    auto const number = check.add({start, start});
     auto const opened = start - 10ms;
     BOOST_TEST(check.take_decided(opened, start + 49ms).empty());
     BOOST_TEST(!check.needs_connection(opened));
@@ -46,7 +46,7 @@
 BOOST_AUTO_TEST_CASE(a_connection_that_others_opened_later_proves_an_end)
 {
     answer_end_check check{settings};
-    check.add(start);
+    check.add({start, start});
     auto const opened = start + 1ms;
     BOOST_TEST(check.needs_connection(opened));
     BOOST_TEST(check.take_decided(opened, start + 400ms).empty());
@@ -55,7 +55,7 @@
 BOOST_AUTO_TEST_CASE(an_end_without_any_connection_is_broken)
 {
     answer_end_check check{settings};
-    check.add(start);
+    check.add({start, start});
     BOOST_TEST(check.needs_connection(std::nullopt));
     check.on_connecting();
     BOOST_TEST(!check.needs_connection(std::nullopt));
@@ -72,7 +72,7 @@
 BOOST_AUTO_TEST_CASE(a_new_connection_proves_an_end_before_it_has_lasted)
 {
     answer_end_check check{settings};
-    check.add(start);
+    check.add({start, start});
     check.on_connecting();
     check.on_connected(start + 20ms);
     BOOST_TEST(decide_alone(check, start + 69ms).empty());
@@ -85,7 +85,7 @@
 BOOST_AUTO_TEST_CASE(an_end_is_broken_if_the_new_connection_closes_at_once)
 {
     answer_end_check check{settings};
-    check.add(start);
+    check.add({start, start});
     check.on_connecting();
     check.on_connected(start + 5ms);
     check.on_closed();
@@ -97,10 +97,10 @@
 BOOST_AUTO_TEST_CASE(a_later_end_needs_proof_of_its_own)
 {
     answer_end_check check{settings};
-    check.add(start);
+    check.add({start, start});
     check.on_connecting();
     check.on_connected(start + 1ms);
-    check.add(start + 40ms);
+    check.add({start + 40ms, start + 40ms});
     BOOST_TEST(decide_alone(check, start + 60ms).size() == 1);
     BOOST_TEST(decide_alone(check, start + 89ms).empty());
     auto const decided = decide_alone(check, start + 90ms);
@@ -111,11 +111,11 @@
 BOOST_AUTO_TEST_CASE(all_ends_share_one_failure_to_connect)
 {
     answer_end_check check{settings};
-    check.add(start);
+    check.add({start, start});
     check.on_connecting();
-    check.add(start + 1ms);
+    check.add({start + 1ms, start + 1ms});
     check.on_not_connected(start + 2ms);
-    check.add(start + 3ms);
+    check.add({start + 3ms, start + 3ms});
     auto const decided = decide_alone(check, start + 3ms);
     BOOST_TEST(decided.size() == 3);
     BOOST_TEST(decided.front().checked_together == 3);
@@ -124,7 +124,7 @@
 BOOST_AUTO_TEST_CASE(the_loss_of_the_older_connection_asks_for_a_new_one)
 {
     answer_end_check check{settings};
-    check.add(start);
+    check.add({start, start});
     BOOST_TEST(!check.needs_connection(start - 1s));
     BOOST_TEST(check.needs_connection(std::nullopt));
 }
@@ -132,7 +132,7 @@
 BOOST_AUTO_TEST_CASE(an_end_that_nothing_decides_is_open_for_ever)
 {
     answer_end_check check{settings};
-    check.add(start);
+    check.add({start, start});
     check.on_connecting();
     BOOST_TEST(decide_alone(check, start + 499ms).empty());
     auto const decided = decide_alone(check, start + 500ms);
@@ -142,4 +142,26 @@
     BOOST_TEST(!decided[0].evidence_age.has_value());
 }
 
+// The server had started again before this daemon woke and read the end.
+BOOST_AUTO_TEST_CASE(an_end_that_is_read_late_is_complete_by_a_new_connection)
+{
+    answer_end_check check;
+    auto const number = check.add({start, start - 800ms, true});
+    check.on_connecting();
+    check.on_connected(start + 1ms);
+    auto const decided = check.take_decided(start - 100ms, start + 60ms);
+    BOOST_REQUIRE(decided.size() == 1U);
+    BOOST_TEST(decided[0].end == number);
+    BOOST_TEST(!decided[0].complete);
+}
+
+BOOST_AUTO_TEST_CASE(a_connection_of_before_shows_that_a_late_end_is_complete)
+{
+    answer_end_check check;
+    check.add({start, start - 800ms, true});
+    auto const decided = check.take_decided(start - 900ms, start + 60ms);
+    BOOST_REQUIRE(decided.size() == 1U);
+    BOOST_TEST(decided[0].complete);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/libdispatch/server_processes_test.cpp
+++ b/tests/libdispatch/server_processes_test.cpp
@@ -117,6 +117,33 @@
     BOOST_TEST(processes.possibly_restarted().empty());
 }
 
+// The store executed a write of the earlier process after the later had begun.
+BOOST_AUTO_TEST_CASE(a_late_write_makes_an_earlier_process_run_on)
+{
+    server_processes processes;
+    processes.on_entry(entry_of(1, "v1"), std::nullopt, at(0ms));
+    processes.on_stated("i-0", 2, at(20ms), at(21ms));
+    processes.on_entry(entry_of(1, "v1"), at(40ms), at(50ms));
+    BOOST_TEST(!processes.find("i-0", {at(30ms), at(60ms)}));
+}
+
+BOOST_AUTO_TEST_CASE(a_server_whose_clock_was_set_back_stays_unidentified)
+{
+    server_processes processes;
+    processes.on_entry(entry_of(9, "v1"), at(0ms), at(10ms));
+    processes.on_stated("i-0", 5, at(30ms), at(31ms));
+    processes.on_entry(entry_of(5, "v2"), std::nullopt, at(40ms));
+    BOOST_TEST(version_of(processes.find("i-0", {at(25ms), at(35ms)})) == "v2");
+}
+
+BOOST_AUTO_TEST_CASE(entries_without_a_start_are_taken_for_one_process)
+{
+    server_processes processes;
+    processes.on_entry(entry_of(0, "v1"), at(0ms), at(10ms));
+    processes.on_entry(entry_of(0, "v2"), at(20ms), at(30ms));
+    BOOST_TEST(!processes.find("i-0", {at(5ms), at(15ms)}));
+}
+
 // Restarts, entries, answers and connections in any order: whatever find()
 // says must be what the connection has really reached.
 BOOST_AUTO_TEST_CASE(no_connection_is_ever_identified_wrongly)
--- a/tests/libgateway/answer_ends_test.cpp
+++ b/tests/libgateway/answer_ends_test.cpp
@@ -213,6 +213,10 @@
     constexpr std::size_t count = 100;
     unframed_answers world{events_up_to(first_events)};
     world.begin_streams(count, "/resume/a");
+    // The gateway asks the server for the start of its process meanwhile.
+    BOOST_REQUIRE(world.run_until([&] {
+        return world.log_text().find("event=process ") != std::string::npos;
+    }));
     auto const accepted = world.ending.accepted();
     world.ending.end_answers();
     BOOST_REQUIRE(world.wait_for_ends());
