Tell peers which running streams are not identified yet

A server restarted as v2 with a late entry, streams began there, and the daemon that served them was killed; its callers came to another daemon, which knew of no other version than v1 (evidence only_release). Change: each update names the running streams whose process is not identified (field z; older daemons skip it, without it nothing is known). The test of stream_origins fails without the change.

--- a/src/libdispatch/include/medlarstall/dispatch/stream_origins.hpp
+++ b/src/libdispatch/include/medlarstall/dispatch/stream_origins.hpp
@@ -9,6 +9,7 @@
 #include <limits>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -133,6 +134,15 @@
     void on_unidentified(std::uint64_t id, std::string_view service,
                          time_point now);
 
+    /// Replaces what another daemon has told of its running streams.
+    /// \param daemon peer address of the other daemon, as IP:PORT
+    /// \param streams streams of which it does not know yet which process has
+    ///     begun them, as in on_begun()
+    /// \param now current time
+    void set_unidentified(std::string const& daemon,
+                          std::vector<std::uint64_t> const& streams,
+                          time_point now);
+
     /// Called when a stream has ended.
     /// \param id as in on_begun()
     /// \param complete whether the caller got all of it
@@ -182,6 +192,13 @@
         bool own = false;
         bool complete = false;
     };
+    /// Running streams of another daemon that are not identified. If it is
+    /// killed, what it has told last stands.
+    struct told_streams
+    {
+        std::set<std::uint64_t> ids;
+        time_point told_at;
+    };
     /// When a release was last known to serve.
     struct release_times
     {
@@ -207,6 +224,7 @@
     bool first_start_ = false;
     std::map<std::string, service_releases, std::less<>> services_;
     std::map<std::uint64_t, known_stream> streams_;
+    std::map<std::string, told_streams> unidentified_; ///< By daemon.
     std::uint64_t revision_ = 0;
 };
 
--- a/src/libdispatch/src/stream_origins.cpp
+++ b/src/libdispatch/src/stream_origins.cpp
@@ -127,6 +127,17 @@
     }
 }
 
+void stream_origins::set_unidentified(std::string const& daemon,
+                                      std::vector<std::uint64_t> const& streams,
+                                      time_point now)
+{
+    if (streams.empty()) {
+        unidentified_.erase(daemon);
+        return;
+    }
+    unidentified_[daemon] = {{streams.begin(), streams.end()}, now};
+}
+
 void stream_origins::on_ended(std::uint64_t id, bool complete, time_point now)
 {
     auto const found = streams_.find(id);
@@ -156,6 +167,13 @@
                                             : origin_evidence::recorded,
                     release};
         }
+        auto const is_open =
+            std::ranges::any_of(unidentified_, [&](auto const& told) {
+                return told.second.ids.contains(*id);
+            });
+        if (is_open) {
+            return {};
+        }
     }
     auto const found = services_.find(service);
     if (!list_current || found == services_.end() || is_mixed(service, now) ||
@@ -225,6 +243,9 @@
     std::erase_if(streams_, [&](auto const& item) {
         return is_old(item.second.touched_at);
     });
+    std::erase_if(unidentified_, [&](auto const& item) {
+        return is_old(item.second.told_at);
+    });
     for (auto& [name, service] : services_) {
         auto const dropped =
             std::erase_if(service.versions, [&](auto const& item) {
--- a/src/libgateway/include/medlarstall/gateway/forwarded_request.hpp
+++ b/src/libgateway/include/medlarstall/gateway/forwarded_request.hpp
@@ -159,6 +159,10 @@
     /// something of that kind may have become known.
     void resume();
 
+    /// \return hash of the id of the attempt, if the caller has events of a
+    ///     stream and it is not known which process has begun it
+    [[nodiscard]] std::optional<std::uint64_t> unidentified_stream() const;
+
     /// Aborts the request. Called when the grace period of the daemon has
     /// ended.
     void stop();
--- a/src/libgateway/include/medlarstall/gateway/gateway.hpp
+++ b/src/libgateway/include/medlarstall/gateway/gateway.hpp
@@ -232,6 +232,7 @@
     void announce_unidentified(std::uint64_t stream,
                                std::string const& service);
     std::vector<unidentified_stream> streams_to_announce(time_point now);
+    std::vector<std::uint64_t> unidentified_streams() const;
     void send_probes(time_point now);
     void send_probe(dispatch::backend_server_entry const& entry);
     void evaluate_probe(std::string const& id, std::int64_t started_unix_ms,
--- a/src/libgateway/include/medlarstall/gateway/peer_update.hpp
+++ b/src/libgateway/include/medlarstall/gateway/peer_update.hpp
@@ -54,6 +54,9 @@
     /// Streams that have broken off at the sender before it was known which
     /// process had begun them.
     std::vector<unidentified_stream> unidentified_streams;
+    /// Running streams of the sender of which it is not known yet which process
+    /// has begun them.
+    std::vector<std::uint64_t> open_streams;
     /// Services whose backend servers the sender reaches.
     std::vector<std::string> reached_services;
 };
--- a/src/libgateway/src/forwarded_request_process.cpp
+++ b/src/libgateway/src/forwarded_request_process.cpp
@@ -100,6 +100,13 @@
     }
 }
 
+std::optional<std::uint64_t> forwarded_request::unidentified_stream() const
+{
+    auto const is_open =
+        first_send_ && !origin_ && !finished_ && request_.route->resumable;
+    return is_open ? stream_id_ : std::nullopt;
+}
+
 /// \return true if the stream was begun by another send, and it is not known
 ///     that the process of this one runs the same release
 bool forwarded_request::must_verify_release()
--- a/src/libgateway/src/gateway_peers.cpp
+++ b/src/libgateway/src/gateway_peers.cpp
@@ -117,6 +117,7 @@
     update.reached_services = paths_.reached_services(monotonic_clock::now());
     update.releases = origins_.mixed_releases(monotonic_clock::now());
     update.unidentified_streams = streams_to_announce(monotonic_clock::now());
+    update.open_streams = unidentified_streams();
     return update;
 }
 
@@ -218,6 +219,7 @@
     for (auto const& release : update.releases) {
         origins_.on_told(release, now);
     }
+    origins_.set_unidentified(from, update.open_streams, now);
     for (auto const& stream : update.unidentified_streams) {
         origins_.on_unidentified(stream.id, stream.service, now);
     }
--- a/src/libgateway/src/gateway_processes.cpp
+++ b/src/libgateway/src/gateway_processes.cpp
@@ -121,6 +121,19 @@
     send_peer_update(now, true);
 }
 
+/// \return running streams of which it is not known which process began them
+std::vector<std::uint64_t> gateway::unidentified_streams() const
+{
+    std::vector<std::uint64_t> streams;
+    for (auto const& request : requests_) {
+        auto const stream = request->unidentified_stream();
+        if (stream && streams.size() < max_announced_streams) {
+            streams.push_back(*stream);
+        }
+    }
+    return streams;
+}
+
 /// Drops streams that have been announced for long enough.
 /// \return the others
 std::vector<unidentified_stream> gateway::streams_to_announce(time_point now)
--- a/src/libgateway/src/peer_update.cpp
+++ b/src/libgateway/src/peer_update.cpp
@@ -246,6 +246,7 @@
     for (auto const& item : value.value("w", json::array())) {
         update.unidentified_streams.push_back(unidentified_from_json(item));
     }
+    update.open_streams = value.value("z", std::vector<std::uint64_t>{});
     return update;
 }
 
@@ -306,6 +307,7 @@
          {"f", list_to_json(update.blamed_parts, blame_to_json)},
          {"k", list_to_json(update.sound_parts, sound_to_json)},
          {"h", update.reached_services},
+         {"z", update.open_streams},
          {"u", list_to_json(update.releases, release_to_json)},
          {"w",
           list_to_json(update.unidentified_streams, unidentified_to_json)}});
--- a/tests/libdispatch/stream_origins_test.cpp
+++ b/tests/libdispatch/stream_origins_test.cpp
@@ -440,4 +440,21 @@
                 origin_evidence::unidentified));
 }
 
+// The daemon that had begun the stream at an unlisted process was killed.
+BOOST_AUTO_TEST_CASE(a_stream_of_a_killed_daemon_is_taken_for_the_only_release)
+{
+    auto const now = time_point{} + 1h;
+    stream_origins origins{now};
+    origins.on_first_start();
+    origins.on_listed({"s", "v1"}, now);
+    origins.set_unidentified("10.0.0.1:1", {7, 8}, now);
+    BOOST_TEST((origins.find(7, "s", true, now + 5s).evidence ==
+                origin_evidence::none));
+    origins.set_unidentified("10.0.0.1:1", {8}, now + 6s);
+    BOOST_TEST((origins.find(7, "s", true, now + 6s).evidence ==
+                origin_evidence::only_release));
+    BOOST_TEST((origins.find(8, "s", true, now + 6s).evidence ==
+                origin_evidence::none));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
