--- a/src/libgateway/src/gateway_processes.cpp
+++ b/src/libgateway/src/gateway_processes.cpp
@@ -144,6 +144,7 @@
         unidentified_.pop_front();
     }
     std::vector<unidentified_stream> streams;
+    streams.reserve(unidentified_.size());
     for (auto const& item : unidentified_) {
         streams.push_back(item.stream);
     }
