Let both waits of a request use one timer function

Cause: wait_for_origin() armed the same timer, for the same 80 ms, as check_again_later(). No behaviour changes. Run: the suites mixed_versions, process_of_stream, process_queries and answer_ends pass.

--- a/src/libdispatch/include/medlarstall/dispatch/crash_tracker.hpp
+++ b/src/libdispatch/include/medlarstall/dispatch/crash_tracker.hpp
@@ -64,9 +64,8 @@
     /// \param request the request
     /// \param backend_server id of the backend server that the request was
     ///     sent to
-    /// \param started_unix_ms when that run of it has started, from the entry
-    /// by
-    ///     which the request was sent
+    /// \param started_unix_ms start of that run, from the entry by which the
+    ///     request was sent
     /// \param now current time
     void on_connection_lost(crash_suspect const& request,
                             std::string_view backend_server,
@@ -76,9 +75,8 @@
     /// the requests whose connections to it were just lost, each to the run
     /// that had the request.
     /// \param backend_server id of the backend server
-    /// \param last_started_unix_ms when the run of it has started that was
-    /// found
-    ///     down; the losses of later runs are kept
+    /// \param last_started_unix_ms start of the run that was found down; the
+    ///     losses of later runs are kept
     /// \param now current time
     /// \return crashes to report to the other daemons, one for each request
     ///     whose connection was just lost; empty if there is none
--- a/src/libgateway/src/forwarded_request_origin.cpp
+++ b/src/libgateway/src/forwarded_request_origin.cpp
@@ -18,8 +18,6 @@
 constexpr milliseconds max_record_wait{1000};
 /// A request waits for at most its time left divided by this.
 constexpr int record_wait_divisor = 3;
-/// Time between two looks at the records that were read.
-constexpr milliseconds record_check_interval{80};
 /// Retry-After of a stream of which nobody knows what began it.
 constexpr milliseconds unknown_origin_retry_delay{400};
 
@@ -43,14 +41,7 @@
 {
     waits_for_origin_ = true;
     context_.refresh_origins(service_);
-    wait_timer_.expires_after(record_check_interval);
-    wait_timer_.async_wait(
-        [weak = weak_from_this()](std::error_code cancelled) {
-            auto const self = weak.lock();
-            if (self && !cancelled) {
-                self->resume();
-            }
-        });
+    check_again_later();
 }
 
 void forwarded_request::resume()
--- a/src/libgateway/src/forwarded_request_process.cpp
+++ b/src/libgateway/src/forwarded_request_process.cpp
@@ -227,6 +227,7 @@
     handle_send_failure(held.failure, held.reason);
 }
 
+/// Something may become known without a call of resume().
 void forwarded_request::check_again_later()
 {
     wait_timer_.expires_after(check_interval);
