--- a/src/libduty/include/medlarstall/duty/exclusive_duty.hpp
+++ b/src/libduty/include/medlarstall/duty/exclusive_duty.hpp
@@ -17,27 +17,27 @@
 /// stored. The revision of a state is a number of the duty's own, which
 /// increases with each change that must be stored before it takes effect.
 template<class Duty>
-concept exclusive_duty = requires(Duty duty, Duty const& constant,
-                                  std::string_view stored, time_point now,
-                                  duty_call const& call, call_outcome outcome,
-                                  std::uint64_t revision) {
-    /// \return state to be stored with the next renewal, in the duty's own
-    ///     encoding
-    { constant.state() } -> std::same_as<std::string>;
-    /// \return revision of that state
-    { constant.revision() } -> std::same_as<std::uint64_t>;
-    /// This daemon has become the holder; the state is what the holder before
-    /// has stored, or empty. An unreadable state counts as empty.
-    duty.on_taken(stored, now);
-    /// This daemon is no longer the holder.
-    duty.on_lost();
-    /// The state up to a revision is stored.
-    duty.on_stored(revision);
-    /// \return calls to make now, each only once until its result is known
-    { duty.due_calls(now) } -> std::same_as<std::vector<duty_call>>;
-    /// A call returned by due_calls() has ended.
-    duty.on_result(call, outcome, now);
-};
+concept exclusive_duty =
+    requires(Duty duty, Duty const& constant, std::string_view stored,
+             time_point now, duty_call const& call, call_outcome outcome,
+             std::uint64_t revision) {
+        /// \return state to be stored with the next renewal, in the duty's own
+        ///     encoding
+        { constant.state() } -> std::same_as<std::string>;
+        /// \return revision of that state
+        { constant.revision() } -> std::same_as<std::uint64_t>;
+        /// This daemon has become the holder; the state is what the holder
+        /// before has stored, or empty. An unreadable state counts as empty.
+        duty.on_taken(stored, now);
+        /// This daemon is no longer the holder.
+        duty.on_lost();
+        /// The state up to a revision is stored.
+        duty.on_stored(revision);
+        /// \return calls to make now, each only once until its result is known
+        { duty.due_calls(now) } -> std::same_as<std::vector<duty_call>>;
+        /// A call returned by due_calls() has ended.
+        duty.on_result(call, outcome, now);
+    };
 
 } // namespace medlarstall::duty
 
