Decide who holds the lease of the exclusive duties

Cause: some calls to the platform must be made by one daemon at a time. It performs no I/O. A write without a response is recognised by its number when it is read later; until then only acknowledged renewals count. A record from before a restore of the store says nothing of who holds the lease now, so that the full time is waited for then, and the token is raised by a million. Ruled out: taking the lease on what peers tell; hearsay only spares reads.

--- /dev/null
+++ b/src/libduty/src/lease_policy.cpp
@@ -0,0 +1,461 @@
+#include <medlarstall/duty/lease_policy.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace medlarstall::duty {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// What was heard longer ago is neither believed nor passed on. A wrong notice
+/// thus disappears, as its age grows with each daemon that passes it on.
+constexpr std::chrono::minutes max_notice_age{1};
+/// Tokens that peers tell may be no higher, so that tokens never run out.
+constexpr fencing_token max_told_token = fencing_token{1} << 53U;
+/// Added to the token after the store was restored from an older copy, which
+/// may lack the records of that many holders.
+constexpr fencing_token restore_step = 1'000'000;
+constexpr fencing_token max_token_step = 1'000'000;
+/// Writes without a response that are remembered. Older ones are not
+/// recognised, which costs a new token if one of them is executed.
+constexpr std::size_t max_open_writes = 64;
+
+} // namespace
+
+char const* name_of(loss_reason reason)
+{
+    switch (reason) {
+    case loss_reason::superseded:
+        return "superseded";
+    case loss_reason::restored:
+        return "restored";
+    case loss_reason::fenced:
+        return "fenced";
+    case loss_reason::released:
+        return "released";
+    }
+    return "";
+}
+
+lease_policy::lease_policy(lease_settings settings, std::string name,
+                           std::uint64_t incarnation, time_point now)
+    : settings_{settings}, name_{std::move(name)}, incarnation_{incarnation},
+      started_at_{now},
+      // The first read follows when peers have had time to be heard.
+      heard_at_{now - settings.silence + settings.read_interval}
+{}
+
+void lease_policy::on_read(lease_topic const& topic, time_point now)
+{
+    call_ = store_call::none;
+    if (topic_ && topic.era < topic_->era) {
+        retry_later(now); // Sent before the store was restored.
+        return;
+    }
+    must_read_ = false;
+    failures_ = 0;
+    auto const is_restored = topic_ && topic.era != topic_->era;
+    if (!recognise(topic, now) && holding_) {
+        lose(is_restored ? loss_reason::restored : loss_reason::superseded,
+             now);
+    }
+    std::erase_if(open_writes_, [&topic](open_write const& write) {
+        return write.at != topic.end; // Its condition can hold no more.
+    });
+    note_topic(topic, now);
+}
+
+void lease_policy::on_read_failed(time_point now)
+{
+    call_ = store_call::none;
+    retry_later(now);
+}
+
+void lease_policy::on_append(append_response const& response, time_point now)
+{
+    call_ = store_call::none;
+    switch (response.status) {
+    case append_status::accepted:
+        on_accepted(response, now);
+        break;
+    case append_status::conflict:
+        open_writes_.pop_back();
+        must_read_ = holding_ || !open_writes_.empty();
+        heard_at_ = now; // Another daemon has written.
+        break;
+    case append_status::refused:
+        open_writes_.pop_back();
+        retry_later(now);
+        break;
+    case append_status::unknown:
+        must_read_ = true;
+        break;
+    }
+}
+
+void lease_policy::on_accepted(append_response const& response, time_point now)
+{
+    auto const done = open_writes_.back();
+    if (response.era != done.record.era || response.end != done.at + 1) {
+        must_read_ = true;
+        return;
+    }
+    failures_ = 0;
+    open_writes_.clear(); // The condition of the others can hold no more.
+    if (done.record.token > fenced_token_) {
+        confirm(done, now);
+    }
+    note_topic({done.record, response.end, response.era}, now);
+}
+
+/// Finds out if the newest record is one that this daemon has written as the
+/// present holder, and what that confirms.
+bool lease_policy::recognise(lease_topic const& topic, time_point now)
+{
+    auto const& record = topic.record;
+    if (!record || record->holder != name_ ||
+        record->incarnation != incarnation_ || record->era != topic.era ||
+        record->token <= fenced_token_) {
+        return false;
+    }
+    if (holding_ && holding_->token == record->token &&
+        holding_->write == record->write) {
+        return true;
+    }
+    auto const open =
+        std::find_if(open_writes_.begin(), open_writes_.end(),
+                     [&record](open_write const& write) {
+                         return write.record.write == record->write &&
+                                write.record.token == record->token;
+                     });
+    if (open == open_writes_.end()) {
+        return false;
+    }
+    confirm(open_write{*open}, now);
+    return true;
+}
+
+/// A write of this daemon is known to have been executed.
+void lease_policy::confirm(open_write const& done, time_point now)
+{
+    if (!holding_) {
+        become_holder(done, now);
+    }
+    holding_->write = done.record.write;
+    holding_->renewed_at = std::max(holding_->renewed_at, done.began);
+    if (done.began >= trusted_from_) {
+        holding_->valid_until =
+            std::max(holding_->valid_until,
+                     done.began + settings_.lease - settings_.margin);
+    }
+    findings_.emplace_back(states_stored{done.record.write});
+    if (done.record.released) {
+        lose(loss_reason::released, now);
+    }
+}
+
+void lease_policy::become_holder(open_write const& done, time_point now)
+{
+    holding_.emplace();
+    holding_->token = done.record.token;
+    holding_->taken_at = now;
+    holding_->previous_holder = done.record.previous_holder;
+    findings_.emplace_back(
+        became_holder{done.record.token, done.record.states});
+}
+
+void lease_policy::lose(loss_reason reason, time_point now)
+{
+    auto const lost = *std::exchange(holding_, std::nullopt);
+    auto const active_until = std::min(now, lost.valid_until);
+    active_until_ =
+        std::max(active_until_.value_or(active_until), active_until);
+    renewal_requested_ = false;
+    release_requested_ = stopping_;
+    heard_ = {lost.token, name_, milliseconds{0},
+              reason == loss_reason::released};
+    released_at_ = now;
+    findings_.emplace_back(lost_lease{lost.token, reason});
+}
+
+void lease_policy::note_topic(lease_topic const& topic, time_point now)
+{
+    auto const changed =
+        !topic_ || topic_->end != topic.end || topic_->era != topic.era;
+    topic_ = topic;
+    if (changed) {
+        unchanged_since_ = now;
+        heard_at_ = now;
+    }
+    if (topic.record) {
+        note_record(*topic.record, now);
+    }
+}
+
+/// The store is believed also if peers have told of a higher token.
+void lease_policy::note_record(lease_record const& record, time_point now)
+{
+    highest_token_ = std::max(highest_token_, record.token);
+    auto const was_released =
+        heard_ && heard_->released && heard_->token == record.token;
+    if (record.released && !was_released) {
+        released_at_ = now;
+    }
+    heard_ = {record.token, record.holder, milliseconds{0}, record.released};
+}
+
+void lease_policy::on_notice(lease_notice const& notice, time_point now)
+{
+    if (notice.token > max_told_token || notice.age > max_notice_age ||
+        notice.age < milliseconds{0} || notice.holder.empty()) {
+        return;
+    }
+    highest_token_ = std::max(highest_token_, notice.token);
+    if (holding_) {
+        renewal_requested_ =
+            renewal_requested_ || notice.token > holding_->token;
+        return;
+    }
+    auto const is_older = heard_ && (notice.token < heard_->token ||
+                                     (notice.token == heard_->token &&
+                                      heard_->released && !notice.released));
+    if (is_older) {
+        return;
+    }
+    auto const was_released =
+        heard_ && heard_->released && notice.token == heard_->token;
+    if (notice.released && !was_released) {
+        released_at_ = now;
+    }
+    heard_ = notice;
+    if (!own_record_is_left()) {
+        heard_at_ = std::max(heard_at_, now - notice.age);
+    }
+}
+
+void lease_policy::on_suspended(time_point now)
+{
+    trusted_from_ = now;
+    if (holding_) {
+        holding_->valid_until = std::min(holding_->valid_until, now);
+        renewal_requested_ = true;
+    }
+}
+
+void lease_policy::on_fenced(time_point now)
+{
+    if (!holding_) {
+        return;
+    }
+    fenced_token_ = holding_->token;
+    auto const soon = now - holding_->taken_at < settings_.lease;
+    token_step_ = soon ? std::min(token_step_ * 2, max_token_step) : 1;
+    lose(loss_reason::fenced, now);
+}
+
+void lease_policy::release(time_point not_before)
+{
+    not_before_ = std::max(not_before_, not_before);
+    release_requested_ = holding_ || stopping_;
+}
+
+void lease_policy::set_place(std::size_t place, std::size_t daemons)
+{
+    place_ = place;
+    daemons_ = daemons;
+}
+
+std::vector<lease_action>
+lease_policy::update(time_point now, bool content_to_store,
+                     std::function<duty_states()> const& states)
+{
+    auto const call = next_call(now, content_to_store, states);
+    auto actions = std::exchange(findings_, {});
+    if (call) {
+        actions.push_back(*call);
+    }
+    return actions;
+}
+
+std::optional<lease_action>
+lease_policy::next_call(time_point now, bool content_to_store,
+                        std::function<duty_states()> const& states)
+{
+    if (call_ != store_call::none || now < next_call_at_) {
+        return std::nullopt;
+    }
+    if (must_read_) {
+        return begin_read(now);
+    }
+    if (holding_) {
+        return renewal_is_due(now, content_to_store)
+                   ? std::optional{begin_renewal(now, states())}
+                   : std::nullopt;
+    }
+    if (may_take(now)) {
+        return begin_take(now);
+    }
+    return read_is_due(now) ? std::optional{begin_read(now)} : std::nullopt;
+}
+
+bool lease_policy::renewal_is_due(time_point now, bool content_to_store) const
+{
+    auto const urgent = content_to_store || renewal_requested_ ||
+                        release_requested_ || !is_valid(now);
+    return now - append_began_at_ >=
+           (urgent ? settings_.urgent_interval : settings_.renewal_interval);
+}
+
+/// \return true if the newest record that is known of is one of this daemon
+///     from before its start, or from before it was fenced
+bool lease_policy::own_record_is_left() const
+{
+    return !holding_ && heard_ && heard_->holder == name_ && !heard_->released;
+}
+
+bool lease_policy::may_take(time_point now) const
+{
+    if (stopping_ || !topic_ || now < not_before_) {
+        return false;
+    }
+    // A restored record tells nothing of who has held the lease since.
+    auto const& record = topic_->record;
+    auto const is_current = record && !is_restored();
+    if (is_current && record->holder == name_) {
+        return true; // No other daemon has held it in between.
+    }
+    // Others may have held the lease since this daemon held it last, also
+    // before it was started.
+    auto const last_active = active_until_.value_or(started_at_);
+    if (now < last_active + settings_.lease) {
+        return false;
+    }
+    if (is_current && record->released) {
+        return true;
+    }
+    return now >= unchanged_since_ + settings_.lease + settings_.margin &&
+           now >= heard_at_ + settings_.silence && read_began_at_ >= heard_at_;
+}
+
+bool lease_policy::read_is_due(time_point now) const
+{
+    auto const interval = std::max<duration>(
+        settings_.read_interval, settings_.read_interval_per_daemon * daemons_);
+    if (stopping_ || now < not_before_ || now < read_began_at_ + interval) {
+        return false;
+    }
+    if (own_record_is_left()) {
+        return true;
+    }
+    if (heard_ && heard_->released) {
+        return now >= released_at_ + place_delay();
+    }
+    return now >= heard_at_ + settings_.silence + place_delay();
+}
+
+duration lease_policy::place_delay() const
+{
+    return std::min(settings_.max_place_delay,
+                    settings_.place_delay * static_cast<int>(place_));
+}
+
+fencing_token lease_policy::next_token() const
+{
+    auto const& record = topic_->record;
+    // Each token is used in one append at least, so that no token is higher
+    // than the end of the partition, but for those after a restore.
+    auto const before =
+        std::max(record ? record->token : topic_->end, highest_token_);
+    return before + token_step_ + (is_restored() ? restore_step : 0);
+}
+
+/// \return true if the record was written before the store was restored from
+///     an older copy
+bool lease_policy::is_restored() const
+{
+    return topic_->record && topic_->record->era != topic_->era;
+}
+
+lease_action lease_policy::begin_read(time_point now)
+{
+    call_ = store_call::read;
+    read_began_at_ = now;
+    return read_topic{};
+}
+
+lease_action lease_policy::begin_append(lease_record record, bool is_renewal,
+                                        time_point now)
+{
+    call_ = store_call::append;
+    append_began_at_ = now;
+    record.holder = name_;
+    record.incarnation = incarnation_;
+    record.write = ++writes_;
+    record.era = topic_->era;
+    if (open_writes_.size() >= max_open_writes) {
+        open_writes_.erase(open_writes_.begin());
+    }
+    open_writes_.push_back({topic_->end, now, record});
+    return append_record{topic_->end, std::move(record), is_renewal};
+}
+
+/// Takes the lease with the states that the holder before has stored.
+lease_action lease_policy::begin_take(time_point now)
+{
+    lease_record record;
+    record.token = next_token();
+    if (topic_->record) {
+        record.previous_holder = topic_->record->holder;
+        record.states = topic_->record->states;
+    }
+    return begin_append(std::move(record), false, now);
+}
+
+lease_action lease_policy::begin_renewal(time_point now,
+                                         duty_states const& states)
+{
+    renewal_requested_ = false;
+    lease_record record;
+    record.token = holding_->token;
+    record.previous_holder = holding_->previous_holder;
+    record.held =
+        std::chrono::duration_cast<milliseconds>(now - holding_->taken_at);
+    record.released = release_requested_;
+    // Keeps the states of duties that only another version knows.
+    record.states = states;
+    if (topic_->record) {
+        record.states.insert(topic_->record->states.begin(),
+                             topic_->record->states.end());
+    }
+    return begin_append(std::move(record), true, now);
+}
+
+void lease_policy::retry_later(time_point now)
+{
+    constexpr int max_doublings = 3;
+    failures_ = std::min(failures_ + 1, max_doublings);
+    next_call_at_ = now + settings_.retry_interval * (1 << failures_) / 2;
+}
+
+std::optional<time_point> lease_policy::valid_until() const
+{
+    return holding_ ? std::optional{holding_->valid_until} : std::nullopt;
+}
+
+std::optional<lease_notice> lease_policy::notice(time_point now) const
+{
+    if (!holding_ && !heard_) {
+        return std::nullopt;
+    }
+    auto told = holding_ ? lease_notice{holding_->token, name_} : *heard_;
+    auto at = holding_ ? holding_->renewed_at : heard_at_;
+    if (!holding_ && heard_->released) {
+        at = released_at_;
+    }
+    told.age = std::chrono::duration_cast<milliseconds>(now - at);
+    return told.age > max_notice_age ? std::nullopt : std::optional{told};
+}
+
+} // namespace medlarstall::duty
