Append to the store on a condition

Change: the store of the gateway has a conditional append and the topic of the duties. Accepted, conflicting, refused and unanswered appends are told apart; an append that was certainly not sent counts as refused. The stand-in of the store supports the condition.

--- a/src/libgateway/include/medlarstall/gateway/record_store.hpp
+++ b/src/libgateway/include/medlarstall/gateway/record_store.hpp
@@ -18,7 +18,8 @@
     configuration,
     backend_servers,
     members,
-    stream_origins ///< Which release began which stream; read on demand.
+    stream_origins, ///< Which release began which stream; read on demand.
+    duties          ///< Who holds the exclusive duties; read on demand.
 };
 
 /// \param topic topic to name
@@ -91,6 +92,26 @@
 /// Called exactly once, with the outcome of a read.
 using read_handler = std::function<void(read_result)>;
 
+/// How a conditional append has ended.
+enum class append_status
+{
+    accepted,
+    conflict, ///< The topic does not end at the expected offset.
+    refused,  ///< The store has done nothing.
+    unknown   ///< The append may have been executed, or may be later.
+};
+
+/// Outcome of a conditional append.
+struct append_outcome
+{
+    append_status status = append_status::unknown;
+    /// End of the topic after the append; set if it was accepted.
+    store_position end;
+};
+
+/// Called exactly once, with the outcome of a conditional append.
+using append_handler = std::function<void(append_outcome const&)>;
+
 /// Operations of the platform's store that a gateway needs.
 struct record_store
 {
@@ -104,6 +125,9 @@
     /// Writes a record, or removes its key if the value is empty. The handler
     /// is called with whether the store accepted the write.
     std::function<void(record_topic, record, std::function<void(bool)>)> write;
+    /// Appends a record if the topic ends at an offset.
+    std::function<void(record_topic, record, std::uint64_t, append_handler)>
+        append_at;
 };
 
 } // namespace medlarstall::gateway
--- a/src/libgateway/src/record_follower.cpp
+++ b/src/libgateway/src/record_follower.cpp
@@ -17,6 +17,8 @@
         return "members";
     case record_topic::stream_origins:
         return "stream_origins";
+    case record_topic::duties:
+        return "duties";
     }
     return "unknown";
 }
--- a/tests/platform_standins/src/store_standin.cpp
+++ b/tests/platform_standins/src/store_standin.cpp
@@ -217,6 +217,12 @@
 void store_standin::answer_append(http::exchange& caller,
                                   std::string const& topic)
 {
+    auto const expected = http::query_value(caller.head().target, "at");
+    auto const end_before = topics_[topic].records.size();
+    if (!expected.empty() && expected != std::to_string(end_before)) {
+        respond(caller, json_answer(412, {{"endOffset", end_before}}));
+        return;
+    }
     auto const& body = caller.body();
     auto const key_length = static_cast<unsigned char>(body.at(length_bytes));
     auto const key = body.substr(length_bytes + 1, key_length);
