Duty service: ready for duties

Change: the gateway takes part in the lease of the duties if its settings name one, tells its peers of the lease (field le of an update), and makes the calls of the duties that were added to duty_service as duty_handle. Not yet: the settings and the client of the platform, tests, documentation. The part is off, since no settings name a duty.

--- a/src/libgateway/include/medlarstall/gateway/gateway.hpp
+++ b/src/libgateway/include/medlarstall/gateway/gateway.hpp
@@ -4,6 +4,9 @@
 #include <medlarstall/dispatch/dispatcher.hpp>
 #include <medlarstall/dispatch/server_processes.hpp>
 #include <medlarstall/gateway/connection_pool.hpp>
+#include <medlarstall/gateway/duty_client.hpp>
+#include <medlarstall/gateway/duty_service.hpp>
+#include <medlarstall/gateway/duty_settings.hpp>
 #include <medlarstall/gateway/early_request_queue.hpp>
 #include <medlarstall/gateway/fetch_scheduler.hpp>
 #include <medlarstall/gateway/forwarded_request.hpp>
@@ -56,6 +59,8 @@
     /// Time for which callers may cache a directory answer.
     std::chrono::milliseconds directory_ttl{2000};
     std::size_t max_connections = 1024;
+    /// Empty if the daemons have no exclusive duties.
+    std::optional<duty_settings> duties;
     /// True if no daemon of the fleet has run before. The daemon then does not
     /// ask peers or backend servers for the prompt parts that are cached.
     bool first_start = true;
@@ -88,6 +93,8 @@
     std::function<http::response(std::vector<std::string> const&,
                                  std::chrono::milliseconds)>
         write_directory;
+    /// Makes calls that are exclusive duties; empty if there are none.
+    duty_client call_duty;
 };
 
 /// Path at which a daemon lists the prompt parts in the caches of the backend
@@ -310,6 +317,9 @@
     void write_origins(time_point now);
     duration origins_write_interval() const;
     void remove_origins(std::string const& address) const;
+    std::shared_ptr<duty_service> make_duty_service();
+    void update_duties(time_point now);
+    void set_duty_gauges();
     void advance_stop(time_point now);
     void update_gauges();
 
@@ -371,6 +381,8 @@
     std::shared_ptr<record_follower> configuration_follower_;
     std::shared_ptr<record_follower> servers_follower_;
     std::shared_ptr<record_follower> members_follower_;
+    /// Empty if the settings name no duty.
+    std::shared_ptr<duty_service> duty_service_;
     asio::steady_timer tick_timer_;
     early_request_queue early_requests_;
     std::set<std::shared_ptr<forwarded_request>> requests_;
--- a/src/libgateway/include/medlarstall/gateway/gateway_metrics.hpp
+++ b/src/libgateway/include/medlarstall/gateway/gateway_metrics.hpp
@@ -42,6 +42,15 @@
     /// \param decision what was decided, from a fixed set of words
     void count_retry_decision(std::string const& decision);
 
+    /// Counts a call to the platform that is an exclusive duty.
+    /// \param duty name of the duty
+    /// \param outcome how the call ended, from a fixed set of words
+    void count_duty_call(std::string const& duty, std::string const& outcome);
+
+    /// Counts a call to the store about the lease, or a change of its holder.
+    /// \param event what has happened, from a fixed set of words
+    void count_lease_event(std::string const& event);
+
     /// Records the time until a response begins to be relayed: at the first
     /// event of a stream, or when another answer is complete or too long to
     /// collect.
--- a/src/libgateway/include/medlarstall/gateway/peer_update.hpp
+++ b/src/libgateway/include/medlarstall/gateway/peer_update.hpp
@@ -3,6 +3,7 @@
 
 #include <medlarstall/dispatch/dispatcher.hpp>
 #include <medlarstall/dispatch/stream_origins.hpp>
+#include <medlarstall/duty/lease_notice.hpp>
 #include <medlarstall/gateway/record_store.hpp>
 #include <medlarstall/gateway/topic_age.hpp>
 #include <medlarstall/support/result.hpp>
@@ -69,6 +70,9 @@
     std::vector<std::uint64_t> open_streams;
     /// Services whose backend servers the sender reaches.
     std::vector<std::string> reached_services;
+    /// What the sender knows of the lease of the exclusive duties. Empty if it
+    /// knows nothing, has no duties, or is of an older version.
+    std::optional<duty::lease_notice> lease;
 };
 
 /// \param update update to send
--- a/src/libgateway/src/gateway_metrics.cpp
+++ b/src/libgateway/src/gateway_metrics.cpp
@@ -51,6 +51,17 @@
             .Help("Retries that the budget of their service allowed, and "
                   "others.")
             .Register(registry);
+    prometheus::Family<prometheus::Counter>& duty_calls =
+        prometheus::BuildCounter()
+            .Name("medlarstall_duty_calls_total")
+            .Help("Calls to the platform that are exclusive duties.")
+            .Register(registry);
+    prometheus::Family<prometheus::Counter>& lease_events =
+        prometheus::BuildCounter()
+            .Name("medlarstall_lease_events_total")
+            .Help("Reads and writes of the lease of the exclusive duties, and "
+                  "changes of its holder.")
+            .Register(registry);
     prometheus::Family<prometheus::Histogram>& first_chunk =
         prometheus::BuildHistogram()
             .Name("medlarstall_first_piece_seconds")
@@ -105,6 +116,18 @@
     implementation_->retry_decisions.Add({{"decision", decision}}).Increment();
 }
 
+void gateway_metrics::count_duty_call(std::string const& duty,
+                                      std::string const& outcome)
+{
+    implementation_->duty_calls.Add({{"duty", duty}, {"outcome", outcome}})
+        .Increment();
+}
+
+void gateway_metrics::count_lease_event(std::string const& event)
+{
+    implementation_->lease_events.Add({{"event", event}}).Increment();
+}
+
 void gateway_metrics::observe_first_chunk(std::string const& kind,
                                           std::chrono::nanoseconds elapsed)
 {
--- a/src/libgateway/src/gateway_peers.cpp
+++ b/src/libgateway/src/gateway_peers.cpp
@@ -93,6 +93,9 @@
     update.releases = origins_.mixed_releases(monotonic_clock::now());
     update.unidentified_streams = streams_to_announce(monotonic_clock::now());
     update.open_streams = unidentified_streams();
+    if (duty_service_) {
+        update.lease = duty_service_->notice();
+    }
     return update;
 }
 
@@ -171,6 +174,9 @@
         return;
     }
     on_peer_reads(update);
+    if (duty_service_ && update.lease) {
+        duty_service_->on_notice(*update.lease);
+    }
     dispatcher_.merge_loads(from, update.loads, now);
     for (auto const& note : update.prompts) {
         if (note.started_unix_ms &&
--- a/src/libgateway/src/gateway_requests.cpp
+++ b/src/libgateway/src/gateway_requests.cpp
@@ -290,6 +290,7 @@
     set("caller_connections", entry_listener_.size());
     set("connections_opened", pool_.opened_count());
     set("log_lines_dropped", log_.dropped());
+    set_duty_gauges();
     auto const set_age = [this](char const* name, record_topic which) {
         std::chrono::duration<double> const age = age_of_topic(which);
         metrics_.set_gauge(name, age.count());
--- a/src/libgateway/src/gateway_status.cpp
+++ b/src/libgateway/src/gateway_status.cpp
@@ -63,6 +63,22 @@
     return list;
 }
 
+/// \return who holds the exclusive duties, as far as is known
+json duties_json(duty_service const* service)
+{
+    if (service == nullptr) {
+        return {};
+    }
+    using std::chrono::duration_cast;
+    using std::chrono::milliseconds;
+    auto const lease = service->status();
+    return {{"own", lease.is_holder},
+            {"holder", lease.holder},
+            {"token", lease.token},
+            {"valid_ms", duration_cast<milliseconds>(lease.valid_for).count()},
+            {"renewal_age_ms", duration_cast<milliseconds>(lease.age).count()}};
+}
+
 } // namespace
 
 http::response gateway::status_response() const
@@ -77,6 +93,7 @@
         {"list_offset", servers_follower_->position().offset},
         {"store_reachable", servers_follower_->store_reachable()},
         {"requests", requests_.size()},
+        {"duties", duties_json(duty_service_.get())},
         {"cell", {{"own", cell_.index}, {"count", cell_.cell_count}}},
         {"peers", peers_json(members_.live_members(now), now)},
         {"backend_servers", servers_json(dispatcher_, now)}};
--- a/src/libgateway/src/gateway_upkeep.cpp
+++ b/src/libgateway/src/gateway_upkeep.cpp
@@ -98,6 +98,7 @@
     remove_lost_members(now);
     fetch_records_from_peers(now);
     read_outdated_topics(now);
+    update_duties(now);
     send_peer_update(now);
     log_.tick(now);
     advance_stop(now);
@@ -123,6 +124,9 @@
         request->note_suspension(
             std::chrono::duration_cast<duration>(suspended), now);
     }
+    if (duty_service_) {
+        duty_service_->on_suspended();
+    }
     pool_.close_all_idle();
     answer_ends_.give_up();
     for (auto* const age : {&servers_age_, &configuration_age_}) {
@@ -329,6 +333,9 @@
     write_registration(false);
     refuse_early_requests(early_requests_.take_all());
     entry_listener_.drain();
+    if (duty_service_) {
+        duty_service_->stop();
+    }
     send_peer_update(*stopping_since_);
 }
 
--- a/src/libgateway/src/peer_update.cpp
+++ b/src/libgateway/src/peer_update.cpp
@@ -220,6 +220,22 @@
                           age_from_json(value.at(2))};
 }
 
+json lease_to_json(duty::lease_notice const& notice)
+{
+    return json::array(
+        {notice.token, notice.holder, notice.age.count(), notice.released});
+}
+
+std::optional<duty::lease_notice> lease_from_json(json const& value)
+{
+    if (value.is_null()) {
+        return std::nullopt;
+    }
+    return duty::lease_notice{
+        value.at(0).get<duty::fencing_token>(), value.at(1).get<std::string>(),
+        age_from_json(value.at(2)), value.at(3).get<bool>()};
+}
+
 template<class Item, class Convert>
 json list_to_json(std::vector<Item> const& items, Convert convert)
 {
@@ -280,6 +296,7 @@
         update.unidentified_streams.push_back(unidentified_from_json(item));
     }
     update.open_streams = value.value("z", std::vector<std::uint64_t>{});
+    update.lease = lease_from_json(value.value("le", json()));
     return update;
 }
 
@@ -324,7 +341,7 @@
 
 std::string encode(peer_update const& update)
 {
-    return to_bytes(
+    json value(
         {{"d", update.daemon},
          {"i", update.incarnation},
          {"n", update.sequence},
@@ -352,6 +369,10 @@
          {"u", list_to_json(update.releases, release_to_json)},
          {"w",
           list_to_json(update.unidentified_streams, unidentified_to_json)}});
+    if (update.lease) {
+        value["le"] = lease_to_json(*update.lease);
+    }
+    return to_bytes(value);
 }
 
 result<peer_update> decode_peer_update(std::string_view bytes)
