Forwarded requests end with their client

Cause: the daemon that runs a forwarded request learned of the departure of its caller by the close of one connection only. If that connection is silent, or a daemon was paused, the request ran on, and was sent again when its server broke off. A daemon that woke sent requests whose callers had left while they waited in its sockets.

Ruled out: clocks of other machines (they jump), sequence numbers of updates alone (their distance states no time), and acknowledgements of the kernel (they go on while the process of the origin is paused).

Change: caller_presence decides before each send, and once more when a new connection is established. It knows the connection of the caller as the kernel does, the patience of the caller, and whether the run of the origin that has forwarded the request is heard. That run and the patience left travel as parameters of the existing field; an older daemon looks only whether the field is there, and states no parameters, which means unknown. Requests read later than their callers wait are refused, streams without an event for longer than their patience are not sent again, and bytes of a cancelled call that were not acknowledged are dropped.

--- a/src/libgateway/include/medlarstall/gateway/forwarded_request.hpp
+++ b/src/libgateway/include/medlarstall/gateway/forwarded_request.hpp
@@ -3,6 +3,7 @@
 
 #include <medlarstall/dispatch/admission_policy.hpp>
 #include <medlarstall/dispatch/attempt_policy.hpp>
+#include <medlarstall/dispatch/caller_presence.hpp>
 #include <medlarstall/dispatch/dispatcher.hpp>
 #include <medlarstall/dispatch/server_paths.hpp>
 #include <medlarstall/dispatch/server_processes.hpp>
@@ -114,6 +115,10 @@
         std::vector<std::string> const& excluded)>
         find_helper;
     answer_end_checks& answer_ends;
+    std::uint64_t incarnation; ///< Of this daemon.
+    /// \return when a daemon was heard, by its name; empty if it was not
+    std::function<std::optional<dispatch::daemon_hearing>(std::string const&)>
+        hearing_of;
 };
 
 /// A request with its route. It keeps the configuration under which it began
@@ -124,6 +129,9 @@
     std::shared_ptr<routes::route_table const> route_table;
     routes::route const* route = nullptr;
     routes::organisation const* organisation = nullptr; ///< Null if none.
+    /// Time for which this daemon was suspended just before it read the
+    /// request, which may have waited that long.
+    duration suspended{0};
 };
 
 /// One request of a caller, from the choice of its route to its final answer.
@@ -145,6 +153,15 @@
     /// request if it has crashed backend servers before.
     void start();
 
+    /// Ends a run of a forwarded request whose caller has left, or may have
+    /// left without being heard. Called periodically.
+    /// \param now current time
+    void check_caller(time_point now);
+
+    /// \return name of the daemon that the request is forwarded to now; empty
+    ///     if there is none
+    [[nodiscard]] std::string const& current_peer() const;
+
     /// Retries the request at another backend server if the current one has
     /// sent nothing for too long. Called periodically.
     /// \param now current time
@@ -241,6 +258,14 @@
     void choose_server();
     void choose_again_after(duration delay);
     bool pass_on(time_point now);
+    dispatch::caller_view view_caller() const;
+    time_point patient_until() const;
+    bool end_if_read_late();
+    bool withhold_send(time_point now);
+    bool confirm_send();
+    void end_departed(dispatch::presence_decision const& decision);
+    void log_presence(dispatch::presence_decision const& decision,
+                      char const* action);
     void send_to_peer(helper_daemon const& helper, time_point now);
     static bool is_refusal_of_peer(http::response_head const& head,
                                    answer_metadata const& metadata);
@@ -340,7 +365,11 @@
     std::uint64_t hash_ = 0; ///< Hash of the id of the attempt.
     dispatch::crash_suspect crash_suspect_;
     time_point began_at_;
+    time_point arrived_at_; ///< Before it was read.
     time_point deadline_;
+    /// How long the caller waits before it gives up.
+    dispatch::caller_patience patience_;
+    bool awaits_origin_ = false; ///< No run begins until the origin is heard.
     /// When the relay of the answer began: at the first event of a stream, or
     /// when another answer was complete or too long to collect.
     time_point first_byte_at_;
--- a/src/libgateway/include/medlarstall/gateway/gateway.hpp
+++ b/src/libgateway/include/medlarstall/gateway/gateway.hpp
@@ -2,6 +2,7 @@
 #define MEDLARSTALL_GATEWAY_GATEWAY_HPP
 
 #include <medlarstall/dispatch/dispatcher.hpp>
+#include <medlarstall/dispatch/heard_daemons.hpp>
 #include <medlarstall/dispatch/server_processes.hpp>
 #include <medlarstall/gateway/connection_pool.hpp>
 #include <medlarstall/gateway/early_request_queue.hpp>
@@ -198,6 +199,10 @@
     void schedule_tick();
     void tick();
     void detect_suspension();
+    duration new_suspension() const;
+    bool stalled_since_tick(time_point now) const;
+    void update_hearing(time_point now);
+    void send_forwarding_updates();
     void check_requests(time_point now);
     void request_initial_parts(time_point now);
     void request_parts_from_peer(std::string const& peer);
@@ -355,6 +360,7 @@
     connection_pool pool_;
     answer_end_checks answer_ends_;
     member_table members_;
+    dispatch::heard_daemons heard_daemons_;
     dispatch::fleet_cell cell_;
     /// Value of members_.revision() from which cell_ was computed.
     std::uint64_t cell_members_revision_ = 0;
@@ -408,6 +414,8 @@
     time_point last_tick_at_;
     /// Total time since boot in which the instance was suspended.
     std::optional<std::chrono::nanoseconds> suspended_time_;
+    /// Suspension that was noticed by the last tick.
+    duration recent_suspension_{0};
     fetch_scheduler configuration_fetches_;
     fetch_scheduler servers_fetches_;
     fetch_scheduler members_fetches_;
--- a/src/libgateway/include/medlarstall/gateway/member_table.hpp
+++ b/src/libgateway/include/medlarstall/gateway/member_table.hpp
@@ -70,6 +70,10 @@
     /// \return number that increases when a daemon is added or removed
     [[nodiscard]] std::uint64_t revision() const { return revision_; }
 
+    /// \param address where a daemon receives updates, as IP:PORT
+    /// \return the daemon; null if the table does not contain it
+    [[nodiscard]] member const* find(std::string const& address) const;
+
     /// \param address where a daemon receives updates, as IP:PORT
     /// \return true if the table contains the daemon
     [[nodiscard]] bool contains(std::string const& address) const;
--- a/src/libgateway/include/medlarstall/gateway/wire_protocol.hpp
+++ b/src/libgateway/include/medlarstall/gateway/wire_protocol.hpp
@@ -14,6 +14,17 @@
 
 namespace medlarstall::gateway {
 
+/// What a daemon states of the caller of a request that it has forwarded.
+struct stated_origin
+{
+    std::string daemon; ///< Its name.
+    /// Incarnation of that daemon. Empty if it is of an older version: the
+    /// caller is then present while the connection is open.
+    std::optional<std::uint64_t> incarnation;
+    /// Time after which the caller gives up if nothing is delivered.
+    std::optional<std::chrono::milliseconds> patience;
+};
+
 /// What the header fields of a request tell the gateway.
 struct request_metadata
 {
@@ -30,6 +41,8 @@
     std::string resumed_attempt;
     /// Another daemon has passed the request on.
     bool passed_on = false;
+    /// The daemon that has, if it states more than its name.
+    std::optional<stated_origin> origin;
 };
 
 /// What the gateway adds to a request that it sends to a backend server.
@@ -51,6 +64,9 @@
 {
     std::string daemon; ///< Name of the daemon that passes it on.
     std::chrono::milliseconds time_left{0};
+    std::uint64_t incarnation = 0; ///< Of that daemon.
+    /// As in stated_origin.
+    std::chrono::milliseconds patience{0};
 };
 
 /// What the header fields of an answer of a backend server tell the gateway.
--- a/src/libgateway/src/forwarded_request.cpp
+++ b/src/libgateway/src/forwarded_request.cpp
@@ -48,7 +48,9 @@
     if (request_.metadata.time_left) {
         limit = std::min(limit, *request_.metadata.time_left);
     }
-    deadline_ = began_at_ + limit;
+    arrived_at_ = caller_->arrived_at() - request_.suspended;
+    deadline_ = arrived_at_ + limit;
+    patience_ = dispatch::patience_of(*request_.route, limit);
 }
 
 std::uint64_t forwarded_request::make_fingerprint() const
@@ -74,6 +76,9 @@
             self->current_send_->connection->resume();
         }
     });
+    if (end_if_read_late()) {
+        return;
+    }
     start_deadline_timer();
     crash_suspect_.request = make_fingerprint();
     if (request_.metadata.model_prompt) {
@@ -141,7 +146,7 @@
     if (time_left(now) < min_useful_time) {
         return; // The deadline timer will answer.
     }
-    if (end_if_crashing(now) || pass_on(now)) {
+    if (withhold_send(now) || end_if_crashing(now) || pass_on(now)) {
         return;
     }
     auto const placement = choose_placement(now);
@@ -375,6 +380,10 @@
             self->on_interim_head(head);
         }
     };
+    events.may_send = [current] {
+        auto const self = current();
+        return self && self->confirm_send();
+    };
     events.head = [current](http::response_head& head,
                             http::body_framing framing) {
         if (auto const self = current()) {
--- a/src/libgateway/src/forwarded_request_failure.cpp
+++ b/src/libgateway/src/forwarded_request_failure.cpp
@@ -126,10 +126,12 @@
 }
 
 /// \return true if a backend server that is not known to be down can take the
-///     request over now
+///     request over now, and its caller is still there
 bool forwarded_request::has_successor(time_point now)
 {
-    if (time_left(now) < min_retry_time || is_crashing(now)) {
+    auto const caller = dispatch::decide_send(view_caller(), now);
+    if (caller.presence != dispatch::caller_presence::present ||
+        time_left(now) < min_retry_time || is_crashing(now)) {
         return false;
     }
     auto const placement = choose_placement(now);
--- a/src/libgateway/src/forwarded_request_peer.cpp
+++ b/src/libgateway/src/forwarded_request_peer.cpp
@@ -72,8 +72,10 @@
     current_send_->connection = context_.pool.acquire(
         pool_key, helper.entry_address, !request_.route->may_run_again(), now);
     auto head = caller_->head();
-    context_.protocol.prepare_pass_on(head,
-                                      {context_.daemon_name, time_left(now)});
+    context_.protocol.prepare_pass_on(
+        head,
+        {context_.daemon_name, time_left(now), context_.incarnation,
+         std::chrono::duration_cast<milliseconds>(patient_until() - now)});
     auto const bodiless = caller_->head().method == "HEAD";
     auto const connection = current_send_->connection;
     connection->start_call(http::serialize_request(head, caller_->body()),
@@ -105,7 +107,7 @@
         .with("peer", tried_peers_.back())
         .with("back", wanted.value_or(milliseconds{0}))
         .with("left", time_left(now));
-    if (pass_on(now)) {
+    if (withhold_send(now) || pass_on(now)) {
         return;
     }
     if (context_.paths.examine(service_, now).lost) {
--- a/src/libgateway/src/forwarded_request_silence.cpp
+++ b/src/libgateway/src/forwarded_request_silence.cpp
@@ -33,8 +33,12 @@
 milliseconds forwarded_request::max_silence_in_stream() const
 {
     constexpr int pauses = 4; // A slow server may far exceed the objective.
-    return std::max(2 * suspicious_stream_silence,
-                    pauses * request_.route->pause_objective);
+    auto const wanted = std::max(2 * suspicious_stream_silence,
+                                 pauses * request_.route->pause_objective);
+    // Another server must have the time to go on before the caller gives up.
+    auto const gap =
+        std::chrono::duration_cast<milliseconds>(patience_.gap) * 3 / 4;
+    return std::min(wanted, gap);
 }
 
 void forwarded_request::note_suspension(duration suspended, time_point now)
--- a/src/libgateway/src/gateway.cpp
+++ b/src/libgateway/src/gateway.cpp
@@ -140,7 +140,11 @@
                std::vector<std::string> const& excluded) {
             return find_helper(service, hash, excluded);
         },
-        answer_ends_};
+        answer_ends_,
+        incarnation_,
+        [this](std::string const& daemon) {
+            return heard_daemons_.find(daemon);
+        }};
 }
 
 status gateway::open_listeners()
@@ -377,6 +381,9 @@
                members_.is_live(item.key, now)) {
         return; // It is running and will write its entry again.
     } else {
+        if (auto const* const known = members_.find(item.key)) {
+            heard_daemons_.forget(known->update.daemon);
+        }
         members_.remove(item.key);
     }
     log_entry{log_, log_category::state_change, "member"}
--- a/src/libgateway/src/gateway_peers.cpp
+++ b/src/libgateway/src/gateway_peers.cpp
@@ -128,6 +128,29 @@
     pending_prompts_.clear();
 }
 
+/// Updates each helper that has a request of this daemon, so that it knows that
+/// this one runs even if some updates are lost.
+void gateway::send_forwarding_updates()
+{
+    std::set<std::string> helpers;
+    for (auto const& request : requests_) {
+        if (!request->current_peer().empty()) {
+            helpers.insert(request->current_peer());
+        }
+    }
+    std::vector<std::string> addresses;
+    for (auto const* const peer :
+         members_.live_members(monotonic_clock::now())) {
+        if (helpers.contains(peer->update.daemon)) {
+            addresses.push_back(peer->address);
+        }
+    }
+    if (!addresses.empty()) {
+        ++update_sequence_;
+        peer_link_.send(addresses, encode(make_peer_update()));
+    }
+}
+
 /// The update of a sender that is not in the member list is not trusted. But if
 /// it has read more of the member list than this daemon, that is a reason to
 /// read the list again.
@@ -170,6 +193,8 @@
     if (!members_.merge(from, update, now)) {
         return;
     }
+    heard_daemons_.on_heard(update.daemon, update.incarnation,
+                            stalled_since_tick(now) ? last_tick_at_ : now);
     on_peer_reads(update);
     dispatcher_.merge_loads(from, update.loads, now);
     for (auto const& note : update.prompts) {
--- a/src/libgateway/src/gateway_requests.cpp
+++ b/src/libgateway/src/gateway_requests.cpp
@@ -138,6 +138,7 @@
     if (request.route->is_public) {
         request.organisation = nullptr;
     }
+    request.suspended = std::max(recent_suspension_, new_suspension());
     auto started = std::make_shared<forwarded_request>(
         request_context_, std::move(request), std::move(caller),
         [this](forwarded_request* finished) {
--- a/src/libgateway/src/gateway_upkeep.cpp
+++ b/src/libgateway/src/gateway_upkeep.cpp
@@ -20,6 +20,10 @@
 /// A suspension, or a gap between two ticks, of at least this length is treated
 /// as a wake-up of the machine.
 constexpr milliseconds min_suspension{1000};
+/// Shorter ones do not matter to callers.
+constexpr milliseconds min_noted_suspension{50};
+/// A longer time between two ticks is a stall of this daemon.
+constexpr milliseconds max_tick_gap{250};
 constexpr int http_ok = 200;
 /// Status of a response that did not arrive completely in time.
 constexpr int no_response = 0;
@@ -62,6 +66,7 @@
 void gateway::tick()
 {
     auto const now = monotonic_clock::now();
+    update_hearing(now);
     detect_suspension();
     last_tick_at_ = now;
     answer_ends_.note_running(now);
@@ -99,11 +104,42 @@
     fetch_records_from_peers(now);
     read_outdated_topics(now);
     send_peer_update(now);
+    if (update_sent_at_ != now) {
+        send_forwarding_updates();
+    }
     log_.tick(now);
     advance_stop(now);
     schedule_tick();
 }
 
+/// \return time for which the machine was suspended since the last tick
+duration gateway::new_suspension() const
+{
+    auto const total = total_suspended_time();
+    auto const since = total - suspended_time_.value_or(total);
+    // The two clocks are not read at the same moment.
+    return since >= min_noted_suspension
+               ? std::chrono::duration_cast<duration>(since)
+               : duration::zero();
+}
+
+/// \return true if this daemon has not run for a while, so that what it reads
+///     now may be as old as its last tick
+bool gateway::stalled_since_tick(time_point now) const
+{
+    return now - last_tick_at_ > max_tick_gap ||
+           new_suspension() > duration::zero();
+}
+
+void gateway::update_hearing(time_point now)
+{
+    if (stalled_since_tick(now)) {
+        heard_daemons_.on_stall(now);
+    }
+    heard_daemons_.expire(now);
+    recent_suspension_ = new_suspension();
+}
+
 void gateway::detect_suspension()
 {
     auto const total_suspended = total_suspended_time();
@@ -139,6 +175,7 @@
 {
     auto const requests = requests_;
     for (auto const& request : requests) {
+        request->check_caller(now);
         request->check_silence(now);
     }
 }
--- a/src/libgateway/src/member_table.cpp
+++ b/src/libgateway/src/member_table.cpp
@@ -20,6 +20,12 @@
     revision_ += members_.erase(address);
 }
 
+member_table::member const* member_table::find(std::string const& address) const
+{
+    auto const found = members_.find(address);
+    return found != members_.end() ? &found->second : nullptr;
+}
+
 bool member_table::contains(std::string const& address) const
 {
     return members_.contains(address);
--- a/src/libhttp/include/medlarstall/http/byte_channel.hpp
+++ b/src/libhttp/include/medlarstall/http/byte_channel.hpp
@@ -98,6 +98,19 @@
     ///     reading is stopped, since the kernel may then not have heard of it
     [[nodiscard]] bool is_established();
 
+    /// Asks the kernel, which knows of a close before it was read here.
+    /// \return true if the peer has closed its side, or the connection failed
+    [[nodiscard]] bool peer_has_closed();
+
+    /// \return time since the kernel has received the newest bytes; zero if it
+    ///     does not say
+    [[nodiscard]] std::chrono::milliseconds newest_bytes_age();
+
+    /// Closes the connection at once. Bytes that the peer has not acknowledged
+    /// are not sent again: it must not get them once nobody waits for what
+    /// follows.
+    void abandon();
+
     /// Makes the connection fail if the peer does not acknowledge sent bytes in
     /// time, and turns on TCP keep-alive probes for an idle connection.
     /// \param timeout longest time without an acknowledgement
--- a/src/libhttp/include/medlarstall/http/server_connection.hpp
+++ b/src/libhttp/include/medlarstall/http/server_connection.hpp
@@ -37,8 +37,9 @@
     /// \param head start line and header fields of the request
     /// \param body complete body of the request
     /// \param read_at when the last byte of the request was read
+    /// \param arrived_at when the kernel received it
     exchange(std::shared_ptr<server_connection> connection, request_head head,
-             std::string body, time_point read_at);
+             std::string body, time_point read_at, time_point arrived_at);
     ~exchange();
     exchange(exchange const&) = delete;
     exchange& operator=(exchange const&) = delete;
@@ -52,6 +53,10 @@
     /// \return when the last byte of the request was read
     [[nodiscard]] time_point read_at() const { return read_at_; }
 
+    /// \return when the kernel received the last bytes of the request, which
+    ///     may have waited until they were read
+    [[nodiscard]] time_point arrived_at() const { return arrived_at_; }
+
     /// Sends a complete response. Does nothing if a response was started.
     /// \param complete_response status, header fields and body
     void respond(response const& complete_response);
@@ -80,6 +85,10 @@
     /// \return true if the caller has closed the connection
     [[nodiscard]] bool caller_disconnected() const;
 
+    /// \return true if the caller has closed the connection, as the kernel
+    ///     knows, even if that was not read yet
+    [[nodiscard]] bool caller_has_left() const;
+
     /// \return number of response bytes that the kernel has not accepted yet
     [[nodiscard]] std::size_t unsent_bytes() const;
 
@@ -99,6 +108,7 @@
     request_head head_;
     std::string body_;
     time_point read_at_;
+    time_point arrived_at_;
     bool response_started_ = false;
     bool response_ended_ = false;
     bool chunked_ = false;
@@ -190,6 +200,7 @@
     bool close_announced_ = false; ///< By the current response.
     bool peer_closed_ = false;
     time_point last_activity_;
+    time_point newest_bytes_at_; ///< When the kernel received them.
     time_point head_started_;
 };
 
--- a/src/libhttp/include/medlarstall/http/upstream_connection.hpp
+++ b/src/libhttp/include/medlarstall/http/upstream_connection.hpp
@@ -41,7 +41,7 @@
 }
 
 /// Callbacks by which a connection notifies the owner of a call. All but
-/// `interim` must be set.
+/// `interim` and `may_send` must be set.
 struct call_events
 {
     /// Decides whether a response is the one to this call. Other responses,
@@ -49,6 +49,9 @@
     std::function<bool(response_head const&)> is_response_to_call;
     /// The head of an interim response (1xx) was read.
     std::function<void(response_head const&)> interim;
+    /// A new connection is established and the request is sent next. Returns
+    /// false if it must not be; the owner has then cancelled the call.
+    std::function<bool()> may_send;
     /// The head of the response was read.
     std::function<void(response_head&, body_framing)> head;
     /// Part of the body was read.
--- a/src/libhttp/src/byte_channel.cpp
+++ b/src/libhttp/src/byte_channel.cpp
@@ -3,11 +3,14 @@
 #include <asio/buffer.hpp>
 #include <asio/post.hpp>
 
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <array>
+#include <optional>
 #include <tuple>
 #include <utility>
 
@@ -32,6 +35,17 @@
     std::ignore = ::setsockopt(socket, level, name, &value, sizeof value);
 }
 
+/// \return what the kernel knows of a connection; empty if it does not say
+std::optional<tcp_info> info_of(int socket)
+{
+    tcp_info info{};
+    socklen_t size = sizeof info;
+    if (::getsockopt(socket, IPPROTO_TCP, TCP_INFO, &info, &size) != 0) {
+        return std::nullopt;
+    }
+    return info;
+}
+
 } // namespace
 
 byte_channel::byte_channel(asio::ip::tcp::socket socket)
@@ -83,11 +97,25 @@
     if (!socket_.is_open() || paused_) {
         return false;
     }
-    tcp_info info{};
-    socklen_t size = sizeof info;
-    return ::getsockopt(socket_.native_handle(), IPPROTO_TCP, TCP_INFO, &info,
-                        &size) == 0 &&
-           info.tcpi_state == TCP_ESTABLISHED;
+    auto const info = info_of(socket_.native_handle());
+    return info && info->tcpi_state == TCP_ESTABLISHED;
+}
+
+bool byte_channel::peer_has_closed()
+{
+    if (!socket_.is_open() || close_reported_) {
+        return true;
+    }
+    auto const info = info_of(socket_.native_handle());
+    return info &&
+           (info->tcpi_state == TCP_CLOSE_WAIT ||
+            info->tcpi_state == TCP_LAST_ACK || info->tcpi_state == TCP_CLOSE);
+}
+
+std::chrono::milliseconds byte_channel::newest_bytes_age()
+{
+    auto const info = info_of(socket_.native_handle());
+    return std::chrono::milliseconds{info ? info->tcpi_last_data_recv : 0};
 }
 
 void byte_channel::wait_readable()
@@ -226,6 +254,18 @@
     std::ignore = socket_.close(ignored);
 }
 
+void byte_channel::abandon()
+{
+    int unacknowledged = 0;
+    auto const known =
+        ::ioctl(socket_.native_handle(), SIOCOUTQ, &unacknowledged) == 0;
+    if (known && unacknowledged > 0) {
+        reset();
+    } else {
+        close();
+    }
+}
+
 void byte_channel::reset()
 {
     std::error_code ignored;
--- a/src/libhttp/src/server_connection.cpp
+++ b/src/libhttp/src/server_connection.cpp
@@ -41,9 +41,10 @@
 } // namespace
 
 exchange::exchange(std::shared_ptr<server_connection> connection,
-                   request_head head, std::string body, time_point read_at)
+                   request_head head, std::string body, time_point read_at,
+                   time_point arrived_at)
     : connection_{std::move(connection)}, head_{std::move(head)},
-      body_{std::move(body)}, read_at_{read_at}
+      body_{std::move(body)}, read_at_{read_at}, arrived_at_{arrived_at}
 {}
 
 exchange::~exchange()
@@ -119,6 +120,12 @@
     return connection_->peer_closed_;
 }
 
+bool exchange::caller_has_left() const
+{
+    return connection_->peer_closed_ ||
+           connection_->channel_->peer_has_closed();
+}
+
 std::size_t exchange::unsent_bytes() const
 {
     return connection_->channel_->unsent_bytes();
@@ -163,6 +170,7 @@
         return;
     }
     last_activity_ = monotonic_clock::now();
+    newest_bytes_at_ = last_activity_ - channel_->newest_bytes_age();
     if (state_ == state::reading && !parser_.started()) {
         head_started_ = last_activity_;
     }
@@ -209,7 +217,7 @@
     auto body = parser_.take_body();
     events_.request(std::make_unique<exchange>(
         shared_from_this(), std::move(parser_.request()), std::move(body),
-        last_activity_));
+        last_activity_, newest_bytes_at_));
 }
 
 void server_connection::on_response_finished()
--- a/src/libhttp/src/upstream_connection.cpp
+++ b/src/libhttp/src/upstream_connection.cpp
@@ -117,7 +117,11 @@
         opened(true);
         return;
     }
-    send_request();
+    auto const self = shared_from_this();
+    auto const may_send = events_.may_send;
+    if (!may_send || may_send()) {
+        send_request();
+    }
 }
 
 void upstream_connection::send_request()
@@ -290,11 +294,15 @@
 
 void upstream_connection::cancel()
 {
-    state_ = state::closed;
+    auto const was_busy = std::exchange(state_, state::closed) == state::busy;
     connect_timer_.cancel();
     events_ = {};
     opened_handler_ = nullptr;
-    channel_->close();
+    if (was_busy) {
+        channel_->abandon();
+    } else {
+        channel_->close();
+    }
 }
 
 bool upstream_connection::reusable() const
--- a/tests/libgateway/departed_callers_test.cpp
+++ b/tests/libgateway/departed_callers_test.cpp
@@ -61,15 +61,14 @@
         stores.push_back(
             std::make_unique<platform_standins::store_standin>(context));
         stores.back()->put("keyed.op", "config",
-                           *store.newest("keyed.op", "config"));
+                           store.newest("keyed.op", "config"));
         for (auto const& server : servers) {
             auto const address = server->address();
             auto const port = static_cast<std::uint16_t>(
                 std::stoi(address.substr(address.find(':') + 1)));
             paths.push_back(std::make_unique<platform_standins::path_standin>(
-                context,
-                asio::ip::tcp::endpoint{asio::ip::make_address("127.0.0.1"),
-                                        port}));
+                context, asio::ip::tcp::endpoint{
+                             asio::ip::make_address("127.0.0.1"), port}));
             auto entry = server->entry("s", "ready", 1);
             entry.replace(entry.find(address), address.size(),
                           paths.back()->address());
@@ -87,8 +86,8 @@
             path->cut();
         }
         for (int count = 0; count < 4; ++count) {
-            auto const answer = send_and_wait(origin, "POST", "/safe/a",
-                                              "notice-" + std::to_string(count));
+            auto const answer = send_and_wait(
+                origin, "POST", "/safe/a", "notice-" + std::to_string(count));
             std::ignore = answer;
         }
         BOOST_REQUIRE(log_text().find("event=passed_on ") != std::string::npos);
@@ -153,7 +152,8 @@
 
 // The helper sent a request again after its run had failed, although the caller
 // of the silent origin had left long before.
-BOOST_AUTO_TEST_CASE(a_forwarded_request_is_sent_again_after_its_caller_has_left)
+BOOST_AUTO_TEST_CASE(
+    a_forwarded_request_is_sent_again_after_its_caller_has_left)
 {
     for (std::string const kind : {"safe", "resume"}) {
         BOOST_TEST_CONTEXT(kind)
@@ -189,7 +189,6 @@
 {
     fleet_with_a_cut_daemon world;
     world.start_held("/once/a", "kept");
-    auto const caller = world.connections.back();
     world.frozen.insert(fleet_with_a_cut_daemon::origin);
     world.run_for(900ms);
     BOOST_TEST(world.abandoned() == 0);
@@ -205,7 +204,8 @@
 
 // A daemon that did not run sent what it found in its sockets on waking,
 // although the callers had closed their connections.
-BOOST_AUTO_TEST_CASE(a_woken_daemon_sends_the_requests_of_callers_that_have_left)
+BOOST_AUTO_TEST_CASE(
+    a_woken_daemon_sends_the_requests_of_callers_that_have_left)
 {
     fleet_with_a_cut_daemon world;
     constexpr auto helper = fleet_with_a_cut_daemon::helper;
--- a/tests/platform/readers_test.cpp
+++ b/tests/platform/readers_test.cpp
@@ -248,6 +248,49 @@
     BOOST_TEST(head.target == "/p/x?y=1");
 }
 
+// The departure of a caller was unknown to the daemon that runs its request.
+BOOST_AUTO_TEST_CASE(a_forwarded_request_states_nothing_of_its_caller)
+{
+    auto const protocol = make_wire_protocol();
+    auto head = caller_request();
+    protocol.prepare_pass_on(head,
+                             {"g-1", std::chrono::milliseconds{900},
+                              1234567890123U, std::chrono::milliseconds{640}});
+    auto const read = protocol.parse_request(head);
+    BOOST_REQUIRE(!failed(read));
+    BOOST_TEST(value_of(read).passed_on);
+    auto const origin = value_of(read).origin.value();
+    BOOST_TEST(origin.daemon == "g-1");
+    BOOST_TEST(origin.incarnation.value() == 1234567890123U);
+    BOOST_TEST(origin.patience->count() == 640);
+    // An older daemon looks only whether the field is there, and removes it.
+    protocol.prepare_request(head, {});
+    BOOST_TEST(!head.headers.contains("Medlarstall-Passed-On-By"));
+}
+
+// What an older daemon does not state, or what is invalid, is unknown.
+BOOST_AUTO_TEST_CASE(an_origin_of_an_older_version_is_rejected)
+{
+    auto const origin_in = [](std::string const& text) {
+        auto head = caller_request();
+        head.headers.set("Medlarstall-Passed-On-By", text);
+        return value_of(make_wire_protocol().parse_request(head))
+            .origin.value();
+    };
+    auto const older = origin_in("g-1");
+    BOOST_TEST(older.daemon == "g-1");
+    BOOST_TEST(!older.incarnation);
+    BOOST_TEST(!older.patience);
+    for (auto const* const bad :
+         {"g-1; incarnation=; patience=-1", "g-1; incarnation=x; patience=1e3",
+          "g-1;;; incarnation", "g-1; later=5"}) {
+        BOOST_TEST(origin_in(bad).daemon == "g-1");
+        BOOST_TEST(!origin_in(bad).incarnation);
+        BOOST_TEST(!origin_in(bad).patience);
+    }
+    BOOST_TEST(*origin_in("g-1; new=1; incarnation=5").incarnation == 5U);
+}
+
 BOOST_AUTO_TEST_CASE(urgencies_are_mapped_to_priority_levels)
 {
     auto const protocol = make_wire_protocol();
