Offer callers entry addresses in proportion to capacity

Cause: the answer to a lookup listed the first 64 ready daemons in the order of their addresses. In a fleet of 88 the others got callers only from their own answers, and an instance with 0.09 of a core and 10 Mbit/s got as many as one with 0.5 of a core and 200 Mbit/s. Change: each daemon tells its peers how many requests it can take now, from the processor and link of its instance and from the lateness of its event loop. If capacities differ, or if there are more daemons than fit into an answer, each caller is offered a part of them by weighted rendezvous hashing, so that its addresses stay the same as long as the daemons do. Ruled out: random addresses for each answer; callers drop connections to addresses that a new answer lacks. Fleets of similar instances that fit into an answer are offered as before.

--- a/src/libgateway/include/medlarstall/gateway/gateway.hpp
+++ b/src/libgateway/include/medlarstall/gateway/gateway.hpp
@@ -5,6 +5,7 @@
 #include <medlarstall/dispatch/server_processes.hpp>
 #include <medlarstall/gateway/connection_pool.hpp>
 #include <medlarstall/gateway/early_request_queue.hpp>
+#include <medlarstall/gateway/entry_capacity.hpp>
 #include <medlarstall/gateway/fetch_scheduler.hpp>
 #include <medlarstall/gateway/forwarded_request.hpp>
 #include <medlarstall/gateway/gateway_metrics.hpp>
@@ -56,6 +57,8 @@
     /// Time for which callers may cache a directory answer.
     std::chrono::milliseconds directory_ttl{2000};
     std::size_t max_connections = 1024;
+    /// Resources of the instance, by which callers are spread over the daemons.
+    instance_resources resources;
     /// True if no daemon of the fleet has run before. The daemon then does not
     /// ask peers or backend servers for the prompt parts that are cached.
     bool first_start = true;
@@ -183,6 +186,7 @@
     std::chrono::milliseconds retry_delay(std::string const& attempt_id) const;
     http::response records_response(std::string_view target) const;
     http::response status_response() const;
+    std::vector<std::string> entry_addresses(std::uint64_t caller_hash) const;
 
     void on_configuration(record const& item);
     bool on_backend_server(record const& item);
@@ -355,6 +359,7 @@
     connection_pool pool_;
     answer_end_checks answer_ends_;
     member_table members_;
+    entry_capacity capacity_;
     dispatch::fleet_cell cell_;
     /// Value of members_.revision() from which cell_ was computed.
     std::uint64_t cell_members_revision_ = 0;
--- a/src/libgateway/include/medlarstall/gateway/member_table.hpp
+++ b/src/libgateway/include/medlarstall/gateway/member_table.hpp
@@ -1,6 +1,7 @@
 #ifndef MEDLARSTALL_GATEWAY_MEMBER_TABLE_HPP
 #define MEDLARSTALL_GATEWAY_MEMBER_TABLE_HPP
 
+#include <medlarstall/gateway/entry_capacity.hpp>
 #include <medlarstall/gateway/peer_update.hpp>
 #include <medlarstall/support/time.hpp>
 
@@ -101,15 +102,10 @@
     [[nodiscard]] std::vector<std::string>
     lost_members(std::vector<std::string> const& peers, time_point now) const;
 
-    /// Selects the addresses that callers should use.
-    /// \param own address of this daemon, which comes first; empty if it
-    ///     accepts no callers
-    /// \param max_count most addresses to return
     /// \param now current time
-    /// \return entry addresses of ready daemons
-    [[nodiscard]] std::vector<std::string>
-    entry_addresses(std::string const& own, std::size_t max_count,
-                    time_point now) const;
+    /// \return the other ready daemons, with their capacity for callers
+    [[nodiscard]] std::vector<entry_candidate>
+    entry_candidates(time_point now) const;
 
 private:
     bool heard_recently(member const& item, time_point now) const;
--- a/src/libgateway/include/medlarstall/gateway/peer_update.hpp
+++ b/src/libgateway/include/medlarstall/gateway/peer_update.hpp
@@ -69,6 +69,9 @@
     std::vector<std::uint64_t> open_streams;
     /// Services whose backend servers the sender reaches.
     std::vector<std::string> reached_services;
+    /// Requests a second that the sender can take from callers now; 0 if that
+    /// is not known, or if the sender is of an older version.
+    double entry_capacity = 0;
 };
 
 /// \param update update to send
--- a/src/libgateway/src/gateway.cpp
+++ b/src/libgateway/src/gateway.cpp
@@ -60,6 +60,7 @@
       adapter_{std::move(adapter)}, log_{log_descriptor},
       incarnation_{make_incarnation()}, dispatcher_{dispatch_settings()},
       origins_{started_at_}, pool_{context}, answer_ends_{context, pool_},
+      capacity_{settings_.resources},
       peer_link_{context,
                  [this](std::string const& from, std::string_view bytes) {
                      on_peer_update(from, bytes);
--- a/src/libgateway/src/gateway_peers.cpp
+++ b/src/libgateway/src/gateway_peers.cpp
@@ -93,6 +93,7 @@
     update.releases = origins_.mixed_releases(monotonic_clock::now());
     update.unidentified_streams = streams_to_announce(monotonic_clock::now());
     update.open_streams = unidentified_streams();
+    update.entry_capacity = capacity_.requests_per_second();
     return update;
 }
 
--- a/src/libgateway/src/gateway_requests.cpp
+++ b/src/libgateway/src/gateway_requests.cpp
@@ -5,6 +5,8 @@
 
 #include "address_text.hpp"
 
+#include <medlarstall/support/digest.hpp>
+
 #include <asio/post.hpp>
 
 #include <algorithm>
@@ -223,12 +225,9 @@
     if (path == adapter_.ready_path) {
         answer.head.status = is_ready() ? 200 : service_unavailable;
     } else if (path == adapter_.directory_path) {
-        constexpr std::size_t max_entries = 64;
-        auto const own =
-            is_ready() ? format_endpoint(settings_.entry_address) : "";
-        auto const entries =
-            members_.entry_addresses(own, max_entries, monotonic_clock::now());
-        answer = adapter_.write_directory(entries, settings_.directory_ttl);
+        answer = adapter_.write_directory(
+            entry_addresses(hash64(caller->caller_address())),
+            settings_.directory_ttl);
     } else if (path == "/metrics") {
         update_gauges();
         answer = {{200, {}, {}}, metrics_.text()};
@@ -244,6 +243,22 @@
     caller->respond(answer);
 }
 
+/// \return addresses of ready daemons that a caller should use
+std::vector<std::string>
+gateway::entry_addresses(std::uint64_t caller_hash) const
+{
+    constexpr std::size_t max_entries = 64;
+    std::vector<entry_candidate> candidates;
+    if (is_ready()) {
+        candidates.push_back({format_endpoint(settings_.entry_address),
+                              capacity_.requests_per_second()});
+    }
+    for (auto& peer : members_.entry_candidates(monotonic_clock::now())) {
+        candidates.push_back(std::move(peer));
+    }
+    return select_entries(std::move(candidates), caller_hash, max_entries);
+}
+
 http::response gateway::records_response(std::string_view target) const
 {
     auto const path = http::path_of(target);
--- a/src/libgateway/src/gateway_upkeep.cpp
+++ b/src/libgateway/src/gateway_upkeep.cpp
@@ -63,6 +63,7 @@
 {
     auto const now = monotonic_clock::now();
     detect_suspension();
+    capacity_.on_tick(now - last_tick_at_ - tick_interval);
     last_tick_at_ = now;
     answer_ends_.note_running(now);
     for (auto* const listener :
--- a/src/libgateway/src/member_table.cpp
+++ b/src/libgateway/src/member_table.cpp
@@ -118,17 +118,14 @@
     return found;
 }
 
-std::vector<std::string> member_table::entry_addresses(std::string const& own,
-                                                       std::size_t max_count,
-                                                       time_point now) const
+std::vector<entry_candidate>
+member_table::entry_candidates(time_point now) const
 {
-    std::vector<std::string> found;
-    if (!own.empty()) {
-        found.push_back(own);
-    }
+    std::vector<entry_candidate> found;
     for (auto const* const item : live_members(now)) {
-        if (item->update.ready && found.size() < max_count) {
-            found.push_back(item->update.entry_address);
+        if (item->update.ready) {
+            found.push_back(
+                {item->update.entry_address, item->update.entry_capacity});
         }
     }
     return found;
--- a/src/libgateway/src/peer_update.cpp
+++ b/src/libgateway/src/peer_update.cpp
@@ -230,6 +230,13 @@
     return list;
 }
 
+/// \return the capacity, or 0 if it is missing or no positive number
+double capacity_from_json(json const& value)
+{
+    auto const capacity = value.is_number() ? value.get<double>() : 0.0;
+    return std::isfinite(capacity) && capacity > 0 ? capacity : 0.0;
+}
+
 peer_update update_from_json(json const& value)
 {
     peer_update update;
@@ -280,6 +287,7 @@
         update.unidentified_streams.push_back(unidentified_from_json(item));
     }
     update.open_streams = value.value("z", std::vector<std::uint64_t>{});
+    update.entry_capacity = capacity_from_json(value.value("ca", json()));
     return update;
 }
 
@@ -349,6 +357,7 @@
          {"k", list_to_json(update.sound_parts, sound_to_json)},
          {"h", update.reached_services},
          {"z", update.open_streams},
+         {"ca", std::lround(update.entry_capacity)},
          {"u", list_to_json(update.releases, release_to_json)},
          {"w",
           list_to_json(update.unidentified_streams, unidentified_to_json)}});
--- a/src/libhttp/include/medlarstall/http/byte_channel.hpp
+++ b/src/libhttp/include/medlarstall/http/byte_channel.hpp
@@ -90,6 +90,9 @@
     /// partial message for a complete one.
     void reset();
 
+    /// \return IP address of the peer; empty if it is not connected
+    [[nodiscard]] std::string peer_address() const;
+
     /// \return true until close() or reset() is called
     [[nodiscard]] bool is_open() const { return socket_.is_open(); }
 
--- a/src/libhttp/include/medlarstall/http/server_connection.hpp
+++ b/src/libhttp/include/medlarstall/http/server_connection.hpp
@@ -80,6 +80,9 @@
     /// \return true if the caller has closed the connection
     [[nodiscard]] bool caller_disconnected() const;
 
+    /// \return IP address of the caller; empty if it has disconnected
+    [[nodiscard]] std::string caller_address() const;
+
     /// \return number of response bytes that the kernel has not accepted yet
     [[nodiscard]] std::size_t unsent_bytes() const;
 
--- a/src/libhttp/src/byte_channel.cpp
+++ b/src/libhttp/src/byte_channel.cpp
@@ -56,6 +56,13 @@
                           });
 }
 
+std::string byte_channel::peer_address() const
+{
+    std::error_code failure;
+    auto const peer = socket_.remote_endpoint(failure);
+    return failure ? std::string{} : peer.address().to_string();
+}
+
 void byte_channel::set_peer_timeout(std::chrono::milliseconds timeout)
 {
     constexpr int keepalive_interval_s = 1;
--- a/src/libhttp/src/server_connection.cpp
+++ b/src/libhttp/src/server_connection.cpp
@@ -119,6 +119,11 @@
     return connection_->peer_closed_;
 }
 
+std::string exchange::caller_address() const
+{
+    return connection_->channel_->peer_address();
+}
+
 std::size_t exchange::unsent_bytes() const
 {
     return connection_->channel_->unsent_bytes();
--- a/tests/libgateway/gateway_components_test.cpp
+++ b/tests/libgateway/gateway_components_test.cpp
@@ -192,15 +192,14 @@
 {
     member_table members;
     members.add("10.0.0.2:7000", start);
-    BOOST_TEST(members.entry_addresses("10.0.0.1:80", 64, start).size() == 1U);
+    BOOST_TEST(members.entry_candidates(start).empty());
     members.merge("10.0.0.2:7000", make_update(1, 1), start);
-    BOOST_TEST(members.entry_addresses("10.0.0.1:80", 64, start).size() == 2U);
-    BOOST_TEST(members.entry_addresses("10.0.0.1:80", 64, start + 3s).size() ==
-               1U);
+    BOOST_TEST(members.entry_candidates(start).size() == 1U);
+    BOOST_TEST(members.entry_candidates(start + 3s).empty());
     auto stopping = make_update(1, 2);
     stopping.ready = false;
     members.merge("10.0.0.2:7000", stopping, start);
-    BOOST_TEST(members.entry_addresses("", 64, start).empty());
+    BOOST_TEST(members.entry_candidates(start).empty());
 }
 
 BOOST_AUTO_TEST_CASE(older_updates_are_rejected)
