--- a/src/libgateway/include/medlarstall/gateway/peer_update.hpp
+++ b/src/libgateway/include/medlarstall/gateway/peer_update.hpp
@@ -73,6 +73,9 @@
     /// What the sender knows of the lease of the exclusive duties. Empty if it
     /// knows nothing, has no duties, or is of an older version.
     std::optional<duty::lease_notice> lease;
+    /// Requests a second that the sender can take from callers now; 0 if that
+    /// is not known, or if the sender is of an older version.
+    double entry_capacity = 0;
 };
 
 /// \param update update to send
--- a/src/libgateway/src/gateway_peers.cpp
+++ b/src/libgateway/src/gateway_peers.cpp
@@ -96,6 +96,7 @@
     if (duty_service_) {
         update.lease = duty_service_->notice();
     }
+    update.entry_capacity = capacity_.requests_per_second();
     return update;
 }
 
--- a/src/libhttp/include/medlarstall/http/server_connection.hpp
+++ b/src/libhttp/include/medlarstall/http/server_connection.hpp
@@ -89,6 +89,9 @@
     ///     knows, even if that was not read yet
     [[nodiscard]] bool caller_has_left() const;
 
+    /// \return IP address of the caller; empty if it has disconnected
+    [[nodiscard]] std::string caller_address() const;
+
     /// \return number of response bytes that the kernel has not accepted yet
     [[nodiscard]] std::size_t unsent_bytes() const;
 
--- a/src/libhttp/src/server_connection.cpp
+++ b/src/libhttp/src/server_connection.cpp
@@ -126,6 +126,11 @@
            connection_->channel_->peer_has_closed();
 }
 
+std::string exchange::caller_address() const
+{
+    return connection_->channel_->peer_address();
+}
+
 std::size_t exchange::unsent_bytes() const
 {
     return connection_->channel_->unsent_bytes();
