Select few readers of the store while a fleet starts

Cause: peers that are not ready do not count as readers. Ruled out: reads by the age of the list; there were nine. Change: a daemon that is not ready counts all live peers.

--- a/src/libgateway/include/medlarstall/gateway/reader_role.hpp
+++ b/src/libgateway/include/medlarstall/gateway/reader_role.hpp
@@ -22,12 +22,14 @@
 };
 
 /// Selects the readers of the store: a few daemons of each cell. If those
-/// cannot reach the store, some more daemons try, but never all of them.
-/// \param own_rank rank of this daemon
+/// cannot reach the store, some more daemons try, but never all of them. Peers
+/// that are not ready, such as stopping ones, do not count; but while a fleet
+/// starts nobody is ready, and a daemon that is not ready itself counts all.
+/// \param self this daemon
 /// \param peers the live peers that this daemon hears from
 /// \return role of this daemon
 [[nodiscard]] reader_role
-select_reader_role(std::uint64_t own_rank,
+select_reader_role(reader_candidate const& self,
                    std::vector<reader_candidate> const& peers);
 
 } // namespace medlarstall::gateway
--- a/src/libgateway/src/gateway_peers.cpp
+++ b/src/libgateway/src/gateway_peers.cpp
@@ -307,7 +307,8 @@
         peers.push_back({hash64(peer->update.daemon), peer->update.ready,
                          peer->update.reads_store});
     }
-    auto const role = select_reader_role(hash64(settings_.name), peers);
+    auto const role =
+        select_reader_role({hash64(settings_.name), is_ready()}, peers);
     is_first_reader_ = role.is_first;
     auto const settled = now - started_at_ >= discovery_time;
     for (auto const& follower :
--- a/src/libgateway/src/reader_role.cpp
+++ b/src/libgateway/src/reader_role.cpp
@@ -13,13 +13,13 @@
 
 } // namespace
 
-reader_role select_reader_role(std::uint64_t own_rank,
+reader_role select_reader_role(reader_candidate const& self,
                                std::vector<reader_candidate> const& peers)
 {
     std::size_t lower_ranks = 0;
     std::size_t lower_ranks_reading = 0;
     for (auto const& peer : peers) {
-        if (!peer.ready || peer.rank >= own_rank) {
+        if ((self.ready && !peer.ready) || peer.rank >= self.rank) {
             continue;
         }
         ++lower_ranks;
--- a/tests/libgateway/list_age_simulation.cpp
+++ b/tests/libgateway/list_age_simulation.cpp
@@ -213,8 +213,9 @@
             peers.push_back({peer, true, heard.latest.reads_store});
         }
     }
-    who.continuous = now_ >= start + discovery_time &&
-                     select_reader_role(which, peers).reads_continuously;
+    who.continuous =
+        now_ >= start + discovery_time &&
+        select_reader_role({which, true}, peers).reads_continuously;
 }
 
 /// Fetches what a peer has read.
