Simulate the exclusive duties of whole fleets

It found that a release right after a take-over stored the state of the duties from before the take-over; the policy now returns what has happened before it asks for the next call. A daemon that hands the duties over counts as inactive.

--- a/src/libduty/include/medlarstall/duty/lease_policy.hpp
+++ b/src/libduty/include/medlarstall/duty/lease_policy.hpp
@@ -70,8 +70,9 @@
     ///     stored soon
     /// \param states returns the present states of the duties of this daemon;
     ///     called if a renewal is due
-    /// \return what has happened since the last call, and the next call to the
-    ///     store, if one is due
+    /// \return what has happened since the last call; only if nothing has, the
+    ///     next call to the store, as the states that it stores depend on what
+    ///     has happened
     [[nodiscard]] std::vector<lease_action>
     update(time_point now, bool content_to_store,
            std::function<duty_states()> const& states);
--- a/src/libduty/src/lease_policy.cpp
+++ b/src/libduty/src/lease_policy.cpp
@@ -271,12 +271,13 @@
 lease_policy::update(time_point now, bool content_to_store,
                      std::function<duty_states()> const& states)
 {
-    auto const call = next_call(now, content_to_store, states);
-    auto actions = std::exchange(findings_, {});
-    if (call) {
-        actions.push_back(*call);
+    if (!findings_.empty()) {
+        return std::exchange(findings_, {});
     }
-    return actions;
+    if (auto call = next_call(now, content_to_store, states)) {
+        return {std::move(*call)};
+    }
+    return {};
 }
 
 std::optional<lease_action>
--- a/src/libgateway/src/duty_service.cpp
+++ b/src/libgateway/src/duty_service.cpp
@@ -132,7 +132,7 @@
 
 bool duty_service::is_active() const
 {
-    return policy_.is_valid(context_.now());
+    return !stopping_ && !stepping_down_ && policy_.is_valid(context_.now());
 }
 
 duty_service::lease_status duty_service::status() const
@@ -350,7 +350,7 @@
 /// \return true if a call that begins now has ended before the lease does
 bool duty_service::may_call(time_point now) const
 {
-    return !stopping_ && !stepping_down_ && !in_flight_ && conflicts_.empty() &&
+    return is_active() && !in_flight_ && conflicts_.empty() &&
            now >= next_call_at_ &&
            policy_.is_valid(now + call_timeout(settings_));
 }
--- /dev/null
+++ b/tests/libgateway/duty_simulation_test.cpp
@@ -0,0 +1,145 @@
+// Tests the exclusive duties of whole fleets against an oracle of their rules.
+
+#include "duty_simulation.hpp"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <chrono>
+
+using namespace std::chrono_literals;
+
+namespace {
+
+void check_rules(duty_simulation const& fleet)
+{
+    for (auto const& rule : fleet.violations()) {
+        BOOST_ERROR(rule);
+    }
+}
+
+/// Runs fleets with faults at random times, and then without any.
+void run_seeds(std::size_t daemons, std::uint32_t seeds,
+               std::chrono::seconds length)
+{
+    for (std::uint32_t seed = 1; seed <= seeds; ++seed) {
+        BOOST_TEST_CONTEXT("seed " << seed)
+        {
+            duty_simulation fleet{daemons, seed % 2 == 0, seed};
+            fleet.run_for(8s);
+            fleet.run_with_faults(length);
+            fleet.run_for(25s);
+            check_rules(fleet);
+            BOOST_TEST(fleet.active_machine().has_value());
+        }
+    }
+}
+
+/// Lets a fault begin at the holder, and checks that another daemon has taken
+/// over after a time.
+void check_take_over(duty_fault what, std::size_t daemons,
+                     std::chrono::milliseconds within)
+{
+    duty_simulation fleet{daemons, false, 7};
+    fleet.run_for(12s);
+    auto const before = fleet.active_machine();
+    BOOST_REQUIRE(before.has_value());
+    fleet.begin_fault(what, *before, 60s);
+    fleet.run_for(within);
+    auto const after = fleet.active_machine();
+    BOOST_REQUIRE(after.has_value());
+    BOOST_TEST(*after != *before);
+    check_rules(fleet);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(duty_simulation_suite)
+
+// Guards against two holders at once, tokens that are used twice or go down,
+// stored states that are lost, and a fleet that is left without a holder.
+BOOST_AUTO_TEST_CASE(rules_hold_with_faults_and_one_daemon)
+{
+    run_seeds(1, 40, 300s);
+}
+
+BOOST_AUTO_TEST_CASE(rules_hold_with_faults_and_5_daemons)
+{
+    run_seeds(5, 120, 300s);
+}
+
+BOOST_AUTO_TEST_CASE(rules_hold_with_faults_and_33_daemons)
+{
+    run_seeds(33, 20, 300s);
+}
+
+BOOST_AUTO_TEST_CASE(rules_hold_with_faults_and_350_daemons)
+{
+    run_seeds(350, 2, 120s);
+}
+
+// Guards against duties that nobody performs after the holder has gone.
+BOOST_AUTO_TEST_CASE(another_daemon_takes_over_within_seconds)
+{
+    for (auto const what :
+         {duty_fault::killed, duty_fault::paused, duty_fault::suspended,
+          duty_fault::cut_off_from_store}) {
+        for (auto const daemons : {5U, 33U, 350U}) {
+            BOOST_TEST_CONTEXT("fault " << static_cast<int>(what) << ", "
+                                        << daemons << " daemons")
+            {
+                check_take_over(what, daemons, 6500ms);
+            }
+        }
+    }
+}
+
+// Guards against a holder that makes the others wait although it stops.
+BOOST_AUTO_TEST_CASE(a_holder_that_stops_is_followed_at_once)
+{
+    check_take_over(duty_fault::stopped, 33, 700ms);
+}
+
+// Guards against a machine that holds the duties, passes them on, and takes
+// them again within the time of a lease. It was restarted, and knows nothing.
+BOOST_AUTO_TEST_CASE(a_holder_does_not_come_back_within_the_lease)
+{
+    for (std::uint32_t seed = 1; seed <= 20; ++seed) {
+        duty_simulation fleet{2, false, seed, 50ms};
+        fleet.run_for(12s);
+        for (int stops = 0; stops < 6; ++stops) {
+            // A notice of a release may be lost; the next holder comes later.
+            if (auto const holder = fleet.active_machine()) {
+                fleet.begin_fault(duty_fault::stopped, *holder, 300ms);
+            }
+            fleet.run_for(stops % 2 == 0 ? 1000ms : 6000ms);
+        }
+        BOOST_TEST(fleet.holders() >= 3U);
+        check_rules(fleet);
+    }
+}
+
+// Guards against a holder that keeps duties which it cannot perform.
+BOOST_AUTO_TEST_CASE(a_holder_without_the_platform_hands_over)
+{
+    check_take_over(duty_fault::cut_off_from_platform, 5, 10s);
+}
+
+// Guards against needless calls to the store, which cost money.
+BOOST_DATA_TEST_CASE(a_fleet_at_rest_makes_few_calls,
+                     boost::unit_test::data::make({1, 33, 118, 350}), daemons)
+{
+    duty_simulation fleet{static_cast<std::size_t>(daemons), true, 5, 5000ms};
+    fleet.run_for(12s);
+    auto const before = fleet.calls();
+    fleet.run_for(60s);
+    auto const reads = fleet.calls().reads - before.reads;
+    auto const appends = fleet.calls().appends - before.appends;
+    BOOST_TEST_MESSAGE(daemons << " daemons: " << reads << " reads, " << appends
+                               << " appends in 60 s");
+    BOOST_TEST(appends <= 80U);
+    BOOST_TEST(reads <= (daemons <= 33 ? 6U : 600U));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
