Call the platform for the exclusive duties

A call that was not sent counts as one that was not answered when the holder decides whether it reaches the platform, but need not be waited for before a release.

--- a/src/libgateway/include/medlarstall/gateway/duty_client.hpp
+++ b/src/libgateway/include/medlarstall/gateway/duty_client.hpp
@@ -23,6 +23,7 @@
     /// It has seen a higher token, or has no backend servers to start.
     conflict,
     rejected,  ///< Nothing was done, and the token is not the reason.
+    not_sent,  ///< No connection; the platform cannot have got the call.
     unanswered ///< The call may have been executed, or may be later.
 };
 
--- a/src/libgateway/include/medlarstall/gateway/duty_service.hpp
+++ b/src/libgateway/include/medlarstall/gateway/duty_service.hpp
@@ -125,7 +125,8 @@
     void send_call(open_call call, time_point now);
     void on_response(open_call const& call, duty_response response);
     void on_conflict(open_call const& call, time_point now);
-    void on_unanswered(open_call const& call, time_point now);
+    void on_unanswered(open_call const& call, duty_response response,
+                       time_point now);
     void end_call(open_call const& call, duty::call_outcome outcome,
                   time_point now);
     void return_unsent_calls(time_point now);
--- a/src/libgateway/src/duty_service.cpp
+++ b/src/libgateway/src/duty_service.cpp
@@ -414,11 +414,14 @@
         end_call(call, duty::call_outcome::rejected, now);
         delay_calls(now);
         break;
+    case duty_response::not_sent:
     case duty_response::unanswered:
-        on_unanswered(call, now);
+        on_unanswered(call, response, now);
         break;
     }
-    if (response != duty_response::unanswered) {
+    auto const is_answered = response != duty_response::unanswered &&
+                             response != duty_response::not_sent;
+    if (is_answered) {
         unanswered_since_.reset();
         unanswered_ = 0;
     }
@@ -453,12 +456,17 @@
     }
 }
 
-void duty_service::on_unanswered(open_call const& call, time_point now)
+void duty_service::on_unanswered(open_call const& call, duty_response response,
+                                 time_point now)
 {
     unanswered_since_ = unanswered_since_.value_or(call.sent_at);
-    last_unanswered_sent_ = call.sent_at;
     ++unanswered_;
-    end_call(call, duty::call_outcome::unknown, now);
+    if (response == duty_response::not_sent) {
+        end_call(call, duty::call_outcome::rejected, now);
+    } else {
+        last_unanswered_sent_ = call.sent_at;
+        end_call(call, duty::call_outcome::unknown, now);
+    }
     delay_calls(now);
 }
 
--- a/tests/platform/readers_test.cpp
+++ b/tests/platform/readers_test.cpp
@@ -320,4 +320,51 @@
                "bounds.budgetSlack");
 }
 
+// Guards against duties that begin without being asked for, and against limits
+// that are not those of the deployment.
+BOOST_AUTO_TEST_CASE(duties_are_read_only_with_an_address)
+{
+    std::string const fields =
+        "bounds.leaseMs=2500\nbounds.fencingEnforced=false\n"
+        "bounds.thawMs=250\nbounds.reportWindowS=2.5\nbounds.usageOff=0.1\n"
+        "bounds.usageDelayS=7\ncloudApi.dutiesPerS=20\n"
+        "cloudApi.duties=usage_report\n";
+    auto const without = read_node_settings(settings_text + fields, 0);
+    BOOST_REQUIRE(!failed(without));
+    BOOST_TEST(!value_of(without).gateway.duties.has_value());
+    BOOST_TEST(!value_of(without).cloud.has_value());
+    auto const address = std::string{"cloudApi.address=10.200.1.9:8300\n"};
+    auto const read = read_node_settings(settings_text + fields + address, 0);
+    BOOST_REQUIRE(!failed(read));
+    BOOST_TEST(value_of(read).cloud.value().port() == 8300);
+    gateway::duty_settings expected;
+    expected.reports_usage = true;
+    expected.calls_per_second = 20;
+    expected.lease = std::chrono::milliseconds{2500};
+    expected.fencing_enforced = false;
+    expected.thaw = std::chrono::milliseconds{250};
+    expected.report_window = std::chrono::milliseconds{2500};
+    expected.usage_tolerance = 0.1;
+    expected.usage_delay = std::chrono::milliseconds{7000};
+    BOOST_TEST((value_of(read).gateway.duties.value() == expected));
+    auto const only_address = read_node_settings(settings_text + address, 0);
+    BOOST_TEST(!value_of(only_address).gateway.duties.value().has_any());
+}
+
+BOOST_AUTO_TEST_CASE(names_the_invalid_field_of_the_duties)
+{
+    for (auto const& line :
+         {"cloudApi.address=nowhere", "cloudApi.duties=usage_report,other",
+          "cloudApi.dutiesPerS=0", "bounds.leaseMs=10", "bounds.thawMs=-1",
+          "bounds.fencingEnforced=maybe", "bounds.reportWindowS=0",
+          "bounds.usageOff=2", "bounds.usageDelayS=x"}) {
+        std::string const text = std::string{settings_text} +
+                                 "cloudApi.address=10.200.1.9:8300\n" + line +
+                                 "\n";
+        auto const read = read_node_settings(text, 0);
+        BOOST_REQUIRE_MESSAGE(failed(read), line);
+        BOOST_TEST(std::string{line}.starts_with(error_of(read).field + "="));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
