--- a/tests/libgateway/duty_simulation.cpp
+++ b/tests/libgateway/duty_simulation.cpp
@@ -346,12 +346,15 @@
 gateway::duty_response duty_simulation::execute(call const& item,
                                                 duty::duty_call const& what)
 {
-    if (fencing_enforced_ && item.token < highest_executed_) {
+    if (fencing_enforced_ &&
+        item.token < std::max(highest_executed_, shown_token_)) {
         return gateway::duty_response::conflict;
     }
     highest_executed_ = std::max(highest_executed_, item.token);
+    ++calls_.executed;
     auto const has_no_servers =
         std::holds_alternative<duty::scale_order>(what) && happens(0.1);
+    calls_.without_servers += has_no_servers;
     return has_no_servers ? gateway::duty_response::conflict
                           : gateway::duty_response::accepted;
 }
--- a/tests/libgateway/duty_simulation.hpp
+++ b/tests/libgateway/duty_simulation.hpp
@@ -103,6 +103,12 @@
     void begin_fault(duty_fault what, std::size_t target,
                      std::chrono::milliseconds length);
 
+    /// Lets the platform have seen a token, which the store has lost.
+    void show_token(medlarstall::duty::fencing_token token)
+    {
+        shown_token_ = token;
+    }
+
     /// \return machine that may act now; empty if there is none
     [[nodiscard]] std::optional<std::size_t> active_machine() const;
 
@@ -118,7 +124,11 @@
         std::size_t reads = 0;
         std::size_t appends = 0;
         std::size_t platform_calls = 0;
+        std::size_t executed = 0; ///< By the platform, in time.
+        std::size_t without_servers = 0;
     };
+
+    /// \return calls so far
     [[nodiscard]] call_counts const& calls() const { return calls_; }
 
     /// \return number of times that a daemon has begun to act as the holder
@@ -186,6 +196,7 @@
     std::map<medlarstall::duty::fencing_token, std::size_t> token_owners_;
     medlarstall::duty::fencing_token highest_sent_ = 0;
     medlarstall::duty::fencing_token highest_executed_ = 0;
+    medlarstall::duty::fencing_token shown_token_ = 0;
     call_counts calls_;
     std::vector<std::string> violations_;
 };
--- a/tests/libgateway/duty_simulation_test.cpp
+++ b/tests/libgateway/duty_simulation_test.cpp
@@ -126,6 +126,32 @@
     check_take_over(duty_fault::cut_off_from_platform, 5, 10s);
 }
 
+// Guards against a holder whose calls are all rejected because the platform has
+// seen higher tokens than the store holds.
+BOOST_AUTO_TEST_CASE(a_fenced_holder_finds_a_higher_token)
+{
+    duty_simulation fleet{5, true, 4};
+    fleet.run_for(12s);
+    fleet.show_token(50);
+    fleet.run_for(20s);
+    auto const before = fleet.calls().executed;
+    fleet.run_for(10s);
+    BOOST_TEST(fleet.calls().executed > before);
+    BOOST_TEST(fleet.holders() <= 15U);
+    check_rules(fleet);
+}
+
+// Guards against an order that no server is left for, and that ends the holding
+// as if there were a higher token.
+BOOST_AUTO_TEST_CASE(a_lack_of_servers_does_not_end_the_holding)
+{
+    duty_simulation fleet{5, true, 4};
+    fleet.run_for(60s);
+    BOOST_TEST(fleet.calls().without_servers > 0U);
+    BOOST_TEST(fleet.holders() == 1U);
+    check_rules(fleet);
+}
+
 // Guards against needless calls to the store, which cost money.
 BOOST_DATA_TEST_CASE(a_fleet_at_rest_makes_few_calls,
                      boost::unit_test::data::make({1, 33, 118, 350}), daemons)
--- a/tests/libgateway/gateway_fixture.cpp
+++ b/tests/libgateway/gateway_fixture.cpp
@@ -57,6 +57,7 @@
     settings.directory_address = settings.peer_address = any_free_port();
     settings.grace_period = grace_period;
     settings.first_start = first_start;
+    settings.duties = duties;
     store_addresses.push_back(has_own_store_addresses
                                   ? store.add_address()
                                   : own_store.value_or(store.address()));
@@ -66,7 +67,8 @@
     auto& loop = has_own_contexts ? *gateway_contexts.back() : context;
     gateways.push_back(std::make_unique<gateway::gateway>(
         loop, settings,
-        platform::make_translations(loop, store_addresses.back()),
+        platform::make_translations(loop, store_addresses.back(),
+                                    any_free_port()),
         log_descriptor));
     BOOST_REQUIRE(!failed(gateways.back()->start()));
     return *gateways.back();
--- a/tests/libgateway/gateway_fixture.hpp
+++ b/tests/libgateway/gateway_fixture.hpp
@@ -56,6 +56,8 @@
     std::optional<asio::ip::tcp::endpoint> own_store;
     /// Whether gateways that are added start with the whole system.
     bool first_start = true;
+    /// Duties of the gateways that are added.
+    std::optional<medlarstall::gateway::duty_settings> duties;
     /// Where the gateways write their log lines.
     int log_descriptor = -1;
 
