--- a/src/libduty/include/medlarstall/duty/usage_ledger.hpp
+++ b/src/libduty/include/medlarstall/duty/usage_ledger.hpp
@@ -73,8 +73,7 @@
     /// \return all that this daemon has counted since the start of that window
     [[nodiscard]] std::vector<usage_row> own_rows(std::uint64_t first) const;
 
-    /// \return what this daemon has counted in windows in which it has counted
-    ///     more since the last call
+    /// \return the counts of this daemon that have changed since the last call
     [[nodiscard]] std::vector<usage_row> take_changed_rows();
 
     /// \return number of counts that are held
@@ -89,7 +88,8 @@
     ledger_limits limits_;
     std::uint64_t current_ = 0;
     std::map<std::uint64_t, window_counts> windows_;
-    std::set<std::uint64_t> changed_;
+    /// Organisations by window whose own count has changed.
+    std::map<std::uint64_t, std::set<std::string>> changed_;
     std::size_t size_ = 0;
 };
 
--- a/src/libduty/src/usage_ledger.cpp
+++ b/src/libduty/src/usage_ledger.cpp
@@ -3,6 +3,7 @@
 #include <medlarstall/support/digest.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace medlarstall::duty {
 
@@ -53,7 +54,7 @@
         windows_[window][own_].try_emplace(organisation, 0);
     size_ += is_new ? 1 : 0;
     ++item->second;
-    changed_.insert(window);
+    changed_[window].insert(organisation);
     return true;
 }
 
@@ -126,8 +127,13 @@
 std::vector<usage_row> usage_ledger::take_changed_rows()
 {
     std::vector<usage_row> rows;
-    for (auto const window : changed_) {
-        rows.push_back({window, windows_.at(window).at(own_)});
+    for (auto const& [window, organisations] : changed_) {
+        auto const& counts = windows_.at(window).at(own_);
+        usage_row row{window, {}};
+        for (auto const& organisation : organisations) {
+            row.counts.emplace(organisation, counts.at(organisation));
+        }
+        rows.push_back(std::move(row));
     }
     changed_.clear();
     return rows;
--- a/src/libduty/src/usage_reporter.cpp
+++ b/src/libduty/src/usage_reporter.cpp
@@ -8,9 +8,9 @@
 
 /// Time between two notes with all rows.
 constexpr std::chrono::milliseconds all_rows_interval{1000};
-/// Windows before the current one that are always told: they may still be open,
-/// whatever is said of them.
-constexpr std::uint64_t told_windows = 2;
+/// Windows before the current one that are always told: the last one may still
+/// be open, whatever is said of it.
+constexpr std::uint64_t told_windows = 1;
 /// Most windows before the current one that are told while none is fixed.
 constexpr std::uint64_t max_told_windows = 12;
 
