Count requests in the gateway and tell the peers

Each request of an organisation is counted once by the daemon that sends it to a backend server: a stream at its first event, others at the first answer that is no refusal, in the window of their send. Peer updates carry the wall clock (wc) and the counts (us): what has changed, and everything about once a second. In fleets of several cells the daemons of a cell take turns in sending all rows of the cell to the holder, one datagram a second. If the settings name the duty, the gateway adds it to its duty service.

A daemon that stops removes itself from the member list first, and its peers ignored its updates from then on. They now accept its counts, and nothing else, for 60 s, so that the requests that end during the stop are reported.

--- a/src/libgateway/include/medlarstall/gateway/forwarded_request.hpp
+++ b/src/libgateway/include/medlarstall/gateway/forwarded_request.hpp
@@ -119,6 +119,10 @@
     /// \return when a daemon was heard, by its name; empty if it was not
     std::function<std::optional<dispatch::daemon_hearing>(std::string const&)>
         hearing_of;
+    /// Called once for each request that has begun to run, with the
+    /// organisation of its caller and the time. Empty if nobody counts them.
+    std::function<void(std::string const& organisation, time_point began_at)>
+        on_run_began;
 };
 
 /// A request with its route. It keeps the configuration under which it began
@@ -321,6 +325,7 @@
     bool append_event(stream_event const& event, std::string& text);
     void begin_relay();
     void deliver_buffered();
+    void note_run(time_point began_at);
     void note_first_byte();
     void handle_send_failure(dispatch::send_failure failure,
                              char const* reason);
@@ -392,6 +397,7 @@
     std::optional<first_send> first_send_;
     std::optional<held_failure> held_failure_;
     bool has_awaited_process_ = false;
+    bool run_noted_ = false; ///< This daemon or a peer has counted the request.
     std::uint64_t relayed_events_ = 0;
     time_point last_event_at_;
     duration longest_pause_{0}; ///< Between two events of the stream.
--- a/src/libgateway/include/medlarstall/gateway/gateway.hpp
+++ b/src/libgateway/include/medlarstall/gateway/gateway.hpp
@@ -4,6 +4,7 @@
 #include <medlarstall/dispatch/dispatcher.hpp>
 #include <medlarstall/dispatch/heard_daemons.hpp>
 #include <medlarstall/dispatch/server_processes.hpp>
+#include <medlarstall/duty/usage_reporter.hpp>
 #include <medlarstall/gateway/connection_pool.hpp>
 #include <medlarstall/gateway/duty_client.hpp>
 #include <medlarstall/gateway/duty_service.hpp>
@@ -33,6 +34,7 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -329,6 +331,21 @@
     std::shared_ptr<duty_service> make_duty_service();
     void update_duties(time_point now);
     void set_duty_gauges();
+    bool counts_usage() const;
+    void start_usage(time_point now);
+    void update_usage(time_point now);
+    void note_member_name(record const& item);
+    std::optional<std::string> holder_in_other_cell() const;
+    bool has_turn_to_collect(std::int64_t second, time_point now) const;
+    void send_collected_usage(time_point now);
+    void add_usage(peer_update& update, bool all, time_point now);
+    void merge_usage(peer_update const& update, time_point now);
+    bool merge_collected_usage(std::string const& from, std::string_view bytes);
+    void note_departure(std::string const& address, time_point now);
+    void merge_usage_of_departed(std::string const& from,
+                                 std::string_view bytes, time_point now);
+    void tell_all_usage(time_point now);
+    void update_usage_gauges();
     void advance_stop(time_point now);
     void update_gauges();
 
@@ -371,6 +388,15 @@
         bool rewrite = false;
     };
     origins_exchange origins_exchange_;
+    /// Counts and reports requests, if that is configured.
+    std::optional<duty::usage_reporter> usage_;
+    bool tell_all_usage_ = false; ///< With the next update.
+    /// Peer addresses of the other daemons by name, if requests are counted.
+    std::map<std::string, std::string> daemon_addresses_;
+    std::int64_t collected_in_second_ = 0; ///< Last second that was checked.
+    /// Daemons that have left lately and still tell what they have counted, by
+    /// address, and until when that is accepted.
+    std::map<std::string, time_point> departed_;
     connection_pool pool_;
     answer_end_checks answer_ends_;
     member_table members_;
--- a/src/libgateway/include/medlarstall/gateway/peer_update.hpp
+++ b/src/libgateway/include/medlarstall/gateway/peer_update.hpp
@@ -4,6 +4,8 @@
 #include <medlarstall/dispatch/dispatcher.hpp>
 #include <medlarstall/dispatch/stream_origins.hpp>
 #include <medlarstall/duty/lease_notice.hpp>
+#include <medlarstall/duty/true_time.hpp>
+#include <medlarstall/duty/usage_row.hpp>
 #include <medlarstall/gateway/record_store.hpp>
 #include <medlarstall/gateway/topic_age.hpp>
 #include <medlarstall/support/result.hpp>
@@ -76,6 +78,10 @@
     /// Requests a second that the sender can take from callers now; 0 if that
     /// is not known, or if the sender is of an older version.
     double entry_capacity = 0;
+    /// What the wall clock of the sender shows. Like the next field, it is
+    /// empty if the sender does not count requests or is of an older version.
+    std::optional<duty::wall_time> wall_clock;
+    std::optional<duty::usage_note> usage; ///< Requests that it has counted.
 };
 
 /// \param update update to send
@@ -86,6 +92,16 @@
 /// \return the update, or an error if the bytes are not a valid one
 [[nodiscard]] result<peer_update> decode_peer_update(std::string_view bytes);
 
+/// \param collected rows of counted requests of several daemons, as encoded by
+///     duty::usage_reporter::collected_rows()
+/// \return a datagram that a daemon of an older version rejects
+[[nodiscard]] std::string encode_collected_usage(std::string const& collected);
+
+/// \param bytes content of a datagram
+/// \return the rows; empty if it contains no collected rows
+[[nodiscard]] std::optional<std::string>
+decode_collected_usage(std::string_view bytes);
+
 /// \param kept prompt parts that the backend servers keep, as far as this
 ///     daemon knows
 /// \return the list as CBOR
--- a/src/libgateway/src/forwarded_request_relay.cpp
+++ b/src/libgateway/src/forwarded_request_relay.cpp
@@ -95,6 +95,12 @@
         }
     } else {
         current_send_->mode = relay_mode::buffered;
+        // A stream begins with its first event, which an error does not have.
+        // An error of a peer itself may have another cause.
+        if (request_.route->kind != routes::route_kind::stream &&
+            (!from_peer || metadata.from_backend_server)) {
+            note_run(current_send_->reservation.sent_at);
+        }
         context_.dispatcher.on_answer_started(current_send_->reservation, now);
     }
 }
@@ -130,6 +136,19 @@
     }
 }
 
+/// Counts the request once when it has begun to run. A peer that it was passed
+/// on to has counted it, and a stream that is taken up was counted when it
+/// began.
+void forwarded_request::note_run(time_point began_at)
+{
+    auto const was_noted = std::exchange(run_noted_, true);
+    if (was_noted || !current_send_->peer.empty() || is_taken_up() ||
+        request_.organisation == nullptr || !context_.on_run_began) {
+        return;
+    }
+    context_.on_run_began(request_.organisation->name, began_at);
+}
+
 void forwarded_request::note_first_byte()
 {
     if (first_byte_at_ != time_point{}) {
@@ -170,6 +189,7 @@
     }
     context_.dispatcher.on_answer_started(current_send_->reservation,
                                           current_send_->last_progress_at);
+    note_run(current_send_->last_progress_at);
     std::string text;
     for (auto const& event : events) {
         if (!append_event(event, text)) {
--- a/src/libgateway/src/gateway.cpp
+++ b/src/libgateway/src/gateway.cpp
@@ -145,7 +145,12 @@
         incarnation_,
         [this](std::string const& daemon) {
             return heard_daemons_.find(daemon);
-        }};
+        },
+        counts_usage()
+            ? [this](std::string const& organisation, time_point began_at) {
+                  usage_->count(organisation, began_at);
+              }
+            : std::function<void(std::string const&, time_point)>{}};
 }
 
 status gateway::open_listeners()
@@ -182,6 +187,7 @@
         return outcome;
     }
     auto const now = monotonic_clock::now();
+    start_usage(now);
     for (auto const& seed : settings_.seeds) {
         if (seed != format_endpoint(settings_.peer_address)) {
             members_.add(seed, now);
@@ -375,6 +381,7 @@
         return;
     }
     auto const now = monotonic_clock::now();
+    note_member_name(item);
     if (item.value) {
         members_.add(item.key, now);
     } else if (members_restored_at_ &&
@@ -386,6 +393,7 @@
             heard_daemons_.forget(known->update.daemon);
         }
         members_.remove(item.key);
+        note_departure(item.key, now);
     }
     log_entry{log_, log_category::state_change, "member"}
         .with("address", item.key)
--- a/src/libgateway/src/gateway_peers.cpp
+++ b/src/libgateway/src/gateway_peers.cpp
@@ -97,6 +97,7 @@
         update.lease = duty_service_->notice();
     }
     update.entry_capacity = capacity_.requests_per_second();
+    add_usage(update, std::exchange(tell_all_usage_, false), now);
     return update;
 }
 
@@ -182,7 +183,11 @@
 void gateway::on_peer_update(std::string const& from, std::string_view bytes)
 {
     auto const now = monotonic_clock::now();
+    if (merge_collected_usage(from, bytes)) {
+        return;
+    }
     if (!members_.contains(from)) {
+        merge_usage_of_departed(from, bytes, now);
         on_unlisted_sender(from, bytes, now);
         return;
     }
@@ -203,6 +208,7 @@
     if (duty_service_ && update.lease) {
         duty_service_->on_notice(*update.lease);
     }
+    merge_usage(update, now);
     dispatcher_.merge_loads(from, update.loads, now);
     for (auto const& note : update.prompts) {
         if (note.started_unix_ms &&
--- a/src/libgateway/src/gateway_requests.cpp
+++ b/src/libgateway/src/gateway_requests.cpp
@@ -314,6 +314,7 @@
     set_age("list_age_seconds", record_topic::backend_servers);
     set_age("configuration_age_seconds", record_topic::configuration);
     set("store_reachable", servers_follower_->store_reachable() ? 1 : 0);
+    update_usage_gauges();
 }
 
 } // namespace medlarstall::gateway
--- a/src/libgateway/src/gateway_status.cpp
+++ b/src/libgateway/src/gateway_status.cpp
@@ -79,12 +79,33 @@
             {"renewal_age_ms", duration_cast<milliseconds>(lease.age).count()}};
 }
 
+json usage_json(duty::usage_reporter const& usage, time_point now)
+{
+    auto const& counters = usage.counters();
+    auto const& duty = usage.duty().counters();
+    return {{"counted", counters.counted},
+            {"late", counters.late},
+            {"rejected_rows", counters.rejected_rows},
+            {"held_counts", usage.held_counts()},
+            {"clocks", usage.time().clock_count()},
+            {"clock_ahead_ms", usage.time().own_deviation().count()},
+            {"time_ms", usage.time().at(now).time_since_epoch().count()},
+            {"closed_before", usage.duty().known_closed_before()},
+            {"windows", usage.open_sums(now)},
+            {"reports",
+             {{"fixed", duty.fixed},
+              {"accepted", duty.accepted},
+              {"failed", duty.failed},
+              {"given_up", duty.given_up},
+              {"waiting", usage.duty().waiting()}}}};
+}
+
 } // namespace
 
 http::response gateway::status_response() const
 {
     auto const now = monotonic_clock::now();
-    json const status{
+    json status{
         {"daemon", settings_.name},
         {"ready", is_ready()},
         {"configuration", route_table_ ? route_table_->version() : 0},
@@ -97,6 +118,9 @@
         {"cell", {{"own", cell_.index}, {"count", cell_.cell_count}}},
         {"peers", peers_json(members_.live_members(now), now)},
         {"backend_servers", servers_json(dispatcher_, now)}};
+    if (usage_) {
+        status["usage"] = usage_json(*usage_, now);
+    }
     http::response response{{200, {}, {}}, {}};
     response.body =
         status.dump(-1, ' ', false, json::error_handler_t::replace) + "\n";
--- a/src/libgateway/src/gateway_upkeep.cpp
+++ b/src/libgateway/src/gateway_upkeep.cpp
@@ -71,6 +71,7 @@
     capacity_.on_tick(now - last_tick_at_ - tick_interval);
     last_tick_at_ = now;
     answer_ends_.note_running(now);
+    update_usage(now);
     for (auto* const listener :
          {&entry_listener_, &ready_listener_, &directory_listener_,
           &peer_listener_, &metrics_listener_}) {
@@ -164,6 +165,10 @@
     if (duty_service_) {
         duty_service_->on_suspended();
     }
+    if (usage_ && suspended >= min_suspension) {
+        usage_->on_suspended();
+        update_usage(now);
+    }
     pool_.close_all_idle();
     answer_ends_.give_up();
     for (auto* const age : {&servers_age_, &configuration_age_}) {
@@ -374,6 +379,7 @@
     if (duty_service_) {
         duty_service_->stop();
     }
+    tell_all_usage_ = true;
     send_peer_update(*stopping_since_);
 }
 
@@ -402,6 +408,7 @@
     log_entry{log_, log_category::state_change, "stopped"}
         .with("after", elapsed)
         .with("cut_off", unfinished.size());
+    tell_all_usage(now);
     log_.tick(now);
     for (auto const& follower :
          {configuration_follower_, servers_follower_, members_follower_}) {
--- a/src/libgateway/src/peer_update.cpp
+++ b/src/libgateway/src/peer_update.cpp
@@ -6,6 +6,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <set>
+#include <utility>
 
 namespace medlarstall::gateway {
 
@@ -236,6 +238,58 @@
         age_from_json(value.at(2)), value.at(3).get<bool>()};
 }
 
+/// The organisations are listed once, and each row has a count for each.
+json usage_to_json(duty::usage_note const& note)
+{
+    std::set<std::string> names;
+    for (auto const& row : note.rows) {
+        for (auto const& [organisation, count] : row.counts) {
+            names.insert(organisation);
+        }
+    }
+    auto rows = json::array();
+    for (auto const& row : note.rows) {
+        auto cells = json::array({row.window});
+        for (auto const& name : names) {
+            auto const found = row.counts.find(name);
+            cells.push_back(found == row.counts.end() ? 0 : found->second);
+        }
+        rows.push_back(std::move(cells));
+    }
+    return {{"c", note.closed_before}, {"o", names}, {"r", std::move(rows)}};
+}
+
+duty::usage_note usage_from_json(json const& value)
+{
+    duty::usage_note note;
+    note.closed_before = value.at("c").get<std::uint64_t>();
+    auto const names = value.at("o").get<std::vector<std::string>>();
+    for (auto const& cells : value.at("r")) {
+        duty::usage_row row{cells.at(0).get<std::uint64_t>(), {}};
+        auto const count = std::min(names.size(), cells.size() - 1);
+        for (std::size_t at = 0; at < count; ++at) {
+            auto const number = cells.at(at + 1).get<std::uint64_t>();
+            if (number > 0) {
+                row.counts[names[at]] = number;
+            }
+        }
+        note.rows.push_back(std::move(row));
+    }
+    return note;
+}
+
+/// Reads what a daemon that counts requests adds to its updates.
+void read_usage(json const& value, peer_update& update)
+{
+    if (auto const wall = value.value("wc", json()); !wall.is_null()) {
+        update.wall_clock = duty::wall_time{
+            std::chrono::milliseconds{wall.get<std::int64_t>()}};
+    }
+    if (auto const usage = value.value("us", json()); !usage.is_null()) {
+        update.usage = usage_from_json(usage);
+    }
+}
+
 template<class Item, class Convert>
 json list_to_json(std::vector<Item> const& items, Convert convert)
 {
@@ -305,6 +359,7 @@
     update.open_streams = value.value("z", std::vector<std::uint64_t>{});
     update.lease = lease_from_json(value.value("le", json()));
     update.entry_capacity = capacity_from_json(value.value("ca", json()));
+    read_usage(value, update);
     return update;
 }
 
@@ -381,6 +436,12 @@
     if (update.lease) {
         value["le"] = lease_to_json(*update.lease);
     }
+    if (update.wall_clock) {
+        value["wc"] = update.wall_clock->time_since_epoch().count();
+    }
+    if (update.usage) {
+        value["us"] = usage_to_json(*update.usage);
+    }
     return to_bytes(value);
 }
 
@@ -389,6 +450,26 @@
     return decode<peer_update>(bytes, "news", update_from_json);
 }
 
+// Updates are CBOR maps, so that an array is told from one by its first byte.
+std::string encode_collected_usage(std::string const& collected)
+{
+    return to_bytes(json::array({"us", collected}));
+}
+
+std::optional<std::string> decode_collected_usage(std::string_view bytes)
+{
+    constexpr char array_of_two = '\x82';
+    if (bytes.empty() || bytes.front() != array_of_two) {
+        return std::nullopt;
+    }
+    auto const read =
+        decode<std::string>(bytes, "collected usage", [](json const& value) {
+            return value.at(0) == "us" ? value.at(1).get<std::string>()
+                                       : std::string{};
+        });
+    return failed(read) ? std::nullopt : std::optional{value_of(read)};
+}
+
 std::string encode(std::vector<dispatch::server_prompt_parts> const& kept)
 {
     return to_bytes(list_to_json(kept, prompt_to_json));
--- a/tests/libgateway/gateway_fixture.cpp
+++ b/tests/libgateway/gateway_fixture.cpp
@@ -57,6 +57,10 @@
     settings.directory_address = settings.peer_address = any_free_port();
     settings.grace_period = grace_period;
     settings.first_start = first_start;
+    if (counts_usage) {
+        settings.duties.emplace().reports_usage = true;
+        settings.duties->report_window = std::chrono::seconds{1};
+    }
     store_addresses.push_back(has_own_store_addresses
                                   ? store.add_address()
                                   : own_store.value_or(store.address()));
@@ -64,10 +68,10 @@
         gateway_contexts.push_back(std::make_unique<asio::io_context>(1));
     }
     auto& loop = has_own_contexts ? *gateway_contexts.back() : context;
+    auto adapter = platform::make_translations(loop, store_addresses.back());
+    adapter.call_duty = call_duty;
     gateways.push_back(std::make_unique<gateway::gateway>(
-        loop, settings,
-        platform::make_translations(loop, store_addresses.back()),
-        log_descriptor));
+        loop, settings, std::move(adapter), log_descriptor));
     BOOST_REQUIRE(!failed(gateways.back()->start()));
     return *gateways.back();
 }
--- a/tests/libgateway/gateway_fixture.hpp
+++ b/tests/libgateway/gateway_fixture.hpp
@@ -56,6 +56,10 @@
     std::optional<asio::ip::tcp::endpoint> own_store;
     /// Whether gateways that are added start with the whole system.
     bool first_start = true;
+    /// Whether gateways that are added count requests.
+    bool counts_usage = false;
+    /// Answers the calls of exclusive duties; empty if there are none.
+    medlarstall::gateway::duty_client call_duty;
     /// Where the gateways write their log lines.
     int log_descriptor = -1;
 
--- a/tests/libgateway/lost_paths_test.cpp
+++ b/tests/libgateway/lost_paths_test.cpp
@@ -6,6 +6,7 @@
 #include <medlarstall/platform_standins/path_standin.hpp>
 
 #include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
 
 #include <chrono>
 #include <memory>
@@ -33,8 +34,10 @@
         paths;
     int sent = 0;
 
-    fleet_with_paths() : gateway_fixture{server_count}
+    explicit fleet_with_paths(bool with_usage = false)
+        : gateway_fixture{server_count}
     {
+        counts_usage = with_usage;
         write_configuration(1);
         auto const configuration = store.newest("keyed.op", "config");
         for (std::size_t at = 0; at < 2; ++at) {
@@ -116,6 +119,15 @@
         return good;
     }
 
+    /// \return number of requests that a gateway has counted
+    std::uint64_t counted(std::size_t gateway)
+    {
+        auto const answer =
+            get(gateways[gateway]->settings().peer_address, "/v1/status");
+        auto const status = nlohmann::json::parse(answer.body);
+        return status.at("usage").at("counted").get<std::uint64_t>();
+    }
+
     /// \return number of times that a request has run
     std::size_t runs_of(std::string const& id) const
     {
@@ -151,6 +163,24 @@
     }
 }
 
+// Both daemons counted it, or none.
+BOOST_AUTO_TEST_CASE(a_request_that_is_passed_on_is_counted_by_the_peer)
+{
+    constexpr int rounds = 5;
+    fleet_with_paths world{true};
+    BOOST_TEST(world.succeeded(0, 1) == 3);
+    for (auto const& path : world.paths[0]) {
+        path->cut();
+    }
+    std::ignore = world.succeeded(0, 2); // By which it notices.
+    world.run_for(500ms);
+    auto const own = world.counted(0);
+    auto const of_peer = world.counted(1);
+    BOOST_TEST(world.succeeded(0, rounds) == 3 * rounds);
+    BOOST_TEST(world.counted(0) == own);
+    BOOST_TEST(world.counted(1) == of_peer + 3 * rounds);
+}
+
 // Old connections live on, so that the servers did not look lost.
 BOOST_AUTO_TEST_CASE(a_daemon_whose_new_connections_are_refused_refuses_callers)
 {
