--- a/tests/libgateway/gateway_fixture.hpp
+++ b/tests/libgateway/gateway_fixture.hpp
@@ -58,6 +58,10 @@
     bool first_start = true;
     /// Duties of the gateways that are added.
     std::optional<medlarstall::gateway::duty_settings> duties;
+    /// Whether gateways that are added count requests.
+    bool counts_usage = false;
+    /// Answers the calls of exclusive duties; if empty, nobody does.
+    medlarstall::gateway::duty_client call_duty;
     /// Where the gateways write their log lines.
     int log_descriptor = -1;
 
