--- a/tests/platform/readers_test.cpp
+++ b/tests/platform/readers_test.cpp
@@ -397,12 +397,10 @@
 // A duty of a later version must not keep a daemon from starting.
 BOOST_AUTO_TEST_CASE(unknown_duties_are_ignored)
 {
-    auto const read = read_node_settings(std::string{settings_text} +
-                                         "cloudApi.address=10.200.1.9:8300
-                                         "
-                                         "cloudApi.duties=other,usage_report
-                                         ",
-                                         0);
+    auto const text = std::string{settings_text} +
+                      "cloudApi.address=10.200.1.9:8300\n"
+                      "cloudApi.duties=other,usage_report\n";
+    auto const read = read_node_settings(text, 0);
     BOOST_REQUIRE(!failed(read));
     auto const& duties = value_of(read).gateway.duties.value();
     BOOST_TEST(duties.reports_usage);
