Test a gateway against crowds of uncontrolled clients

Cause: clients that hold as much as they can have brought single processes far above the memory of their machine. No test showed this.

--- /dev/null
+++ b/tests/clients/crowd.py
@@ -0,0 +1,131 @@
+"""Clients that hold as much of a gateway as they can."""
+
+import asyncio
+import collections
+
+import harness
+import http_wire as wire
+
+MAX_BODY = 4194304
+SHORT_BY = 1000
+LARGE_CHUNK = 65536
+
+
+def request_head(case, framing, path="/order/a"):
+    """Returns the head of a valid request with a framing field."""
+    return (f"POST {path} HTTP/1.1\r\nHost: {harness.HOST}\r\n"
+            f"X-Attempt-Id: {case.new_attempt()}\r\n"
+            f"Authorization: Token {harness.KEY}\r\n"
+            f"X-Deadline-Ms: 9000\r\n{framing}\r\n\r\n").encode()
+
+
+CHUNKED = "Transfer-Encoding: chunked"
+
+
+class Crowd:
+    """Runs clients until stop(); each remembers how it ended."""
+
+    def __init__(self, case, address):
+        self.case = case
+        self.address = address
+        self.tasks = []
+        self.sent_all = 0
+        self.ends = collections.Counter()
+
+    def start(self, attack, count):
+        self.tasks = [asyncio.create_task(self.client(getattr(self, attack)))
+                      for _ in range(count)]
+
+    def stop(self):
+        for task in self.tasks:
+            task.cancel()
+
+    async def settle(self, seconds):
+        """Waits until all clients have sent what they send, or for so long."""
+        for _ in range(int(seconds / 0.1)):
+            if self.sent_all + sum(self.ends.values()) >= len(self.tasks):
+                break
+            await asyncio.sleep(0.1)
+
+    def outcomes(self):
+        return dict(self.ends, holding=len(self.tasks)
+                    - sum(self.ends.values()))
+
+    async def client(self, attack):
+        writer = None
+        end = "closed"
+        try:
+            reader, writer = await asyncio.open_connection(
+                self.address, harness.ENTRY, limit=16384)
+            await attack(writer)
+            self.sent_all += 1
+            if attack == self.slow_reader:
+                await asyncio.sleep(3600)
+            head = await wire.read_head(reader)
+            end = str(head.status) if head else "closed"
+            await asyncio.sleep(3600)
+        except asyncio.CancelledError:
+            pass
+        except OSError as problem:
+            end = type(problem).__name__
+        finally:
+            if end != "closed" or not asyncio.current_task().cancelling():
+                self.ends[end] += 1
+            if writer is not None:
+                writer.transport.abort()
+
+    async def chunked_short_of_end(self, writer):
+        await self.send_chunks(writer, MAX_BODY - SHORT_BY)
+
+    async def chunked_over_limit(self, writer):
+        await self.send_chunks(writer, 5 * MAX_BODY)
+
+    async def send_chunks(self, writer, total):
+        writer.write(request_head(self.case, CHUNKED))
+        part = wire.chunk(b"c" * LARGE_CHUNK)
+        for _ in range(total // LARGE_CHUNK):
+            writer.write(part)
+            await writer.drain()
+        writer.write(wire.chunk(b"c" * (total % LARGE_CHUNK)))
+        await writer.drain()
+
+    async def announced_short_of_end(self, writer):
+        await self.send_announced(writer, MAX_BODY, MAX_BODY - SHORT_BY)
+
+    async def announced_over_limit(self, writer):
+        await self.send_announced(writer, 5 * MAX_BODY, 5 * MAX_BODY)
+
+    async def send_announced(self, writer, length, total):
+        writer.write(request_head(self.case, f"Content-Length: {length}"))
+        for _ in range(total // LARGE_CHUNK):
+            writer.write(b"a" * LARGE_CHUNK)
+            await writer.drain()
+        writer.write(b"a" * (total % LARGE_CHUNK))
+        await writer.drain()
+
+    async def one_byte_chunks(self, writer):
+        writer.write(request_head(self.case, CHUNKED))
+        for _ in range(300):
+            writer.write(b"1\r\nb\r\n" * 1000)
+            await writer.drain()
+
+    async def endless_heads(self, writer):
+        """Fields as short as they can be take the most memory for each byte."""
+        writer.write(request_head(self.case, CHUNKED)[:-2])
+        for _ in range(10):
+            writer.write(b"a:\r\n" * 300)
+            await writer.drain()
+            await asyncio.sleep(0.1)
+
+    async def slow_reader(self, writer):
+        writer.write(request_head(self.case, "Content-Length: 0",
+                                  "/order/large"))
+        await writer.drain()
+        writer.transport.pause_reading()
+
+    async def idle(self, writer):
+        pass
+
+    async def half_head(self, writer):
+        writer.write(request_head(self.case, CHUNKED)[:-2])
+        await writer.drain()
