Refuse responses that a server may not send

Cause: the parser took any status for one, and left bytes after a response without a body to the next read. Responses such as 000 and 099 reached callers. A 304 that states a length was waited for, as http_parser expects a body there.

Change: message_parser refuses such heads. Bytes after a response make it invalid, unless they begin another final response, since servers write some twice (a_duplicate_answer_is_not_relayed_to_another_caller). A body that ends with its connection is not complete while the request is still being sent.

Conclusion: the gateway answers 502, also for requests that another daemon has passed on, and probes do not count such responses as health.

--- a/src/libhttp/include/medlarstall/http/message_parser.hpp
+++ b/src/libhttp/include/medlarstall/http/message_parser.hpp
@@ -115,6 +115,13 @@
     /// Drops the message and the memory of its buffers.
     void release();
 
+    /// Examines bytes that a server sent after its response.
+    /// \param rest received bytes after a complete response
+    /// \return true if they belong to another final response, as a server may
+    ///     write one twice; false for interim responses and for a body that the
+    ///     response must not have
+    [[nodiscard]] static bool begins_final_response(std::string_view rest);
+
 private:
     static http_parser_settings const& callbacks();
     header_list& headers();
@@ -127,6 +134,7 @@
     int on_complete();
     int fail(parse_failure reason);
     bool store_header();
+    [[nodiscard]] bool is_valid_response() const;
     [[nodiscard]] std::uint64_t body_bound() const;
     void grow_body(std::size_t length);
 
--- a/src/libhttp/src/message_parser.cpp
+++ b/src/libhttp/src/message_parser.cpp
@@ -36,10 +36,14 @@
     });
 }
 
+constexpr int no_content = 204;
+constexpr int not_modified = 304;
+constexpr int switching_protocols = 101;
+constexpr int min_status = 100;
+constexpr int max_status = 599;
+
 bool may_have_body(int status)
 {
-    constexpr int no_content = 204;
-    constexpr int not_modified = 304;
     return status / 100 != 1 && status != no_content && status != not_modified;
 }
 
@@ -235,6 +239,9 @@
     } else {
         response_.status = static_cast<int>(parser_.status_code);
         parser_.upgrade = 0;
+        if (!is_valid_response()) {
+            return fail(parse_failure::malformed);
+        }
     }
     auto const chunked = (parser_.flags & F_CHUNKED) != 0;
     auto const has_length = (parser_.flags & F_CONTENTLENGTH) != 0;
@@ -250,7 +257,11 @@
                may_have_body(response_.status)) {
         framing_ = body_framing::until_close;
     }
-    return no_body_ ? skip_body : read_body;
+    // http_parser reads a body of the stated length after any status.
+    auto const bodiless = kind_ == message_kind::response &&
+                          response_.status / 100 != 1 &&
+                          !may_have_body(response_.status);
+    return no_body_ || bodiless ? skip_body : read_body;
 }
 
 int message_parser::on_body(char const* data, std::size_t length)
@@ -303,6 +314,34 @@
     interim_responses_ = {};
 }
 
+/// \return false for a status that a server may not send here, and for framing
+///     of a body that a response of its status does not have
+bool message_parser::is_valid_response() const
+{
+    auto const status = response_.status;
+    if (status < min_status || status > max_status ||
+        status == switching_protocols) {
+        return false;
+    }
+    auto const has_body =
+        (parser_.flags & F_CHUNKED) != 0 ||
+        parser_.uses_transfer_encoding != 0 ||
+        ((parser_.flags & F_CONTENTLENGTH) != 0 && parser_.content_length > 0);
+    // A 304 may state the length of the body that it leaves out.
+    auto const needs_none = status / 100 == 1 || status == no_content;
+    return !needs_none || !has_body;
+}
+
+bool message_parser::begins_final_response(std::string_view rest)
+{
+    constexpr std::string_view version = "HTTP/1.";
+    constexpr std::size_t status_at = version.size() + 2; // Digit and blank.
+    if (!rest.starts_with(version.substr(0, rest.size()))) {
+        return false;
+    }
+    return rest.size() <= status_at || rest[status_at] != '1';
+}
+
 int message_parser::on_complete()
 {
     auto const interim =
--- a/src/libhttp/src/upstream_connection.cpp
+++ b/src/libhttp/src/upstream_connection.cpp
@@ -175,6 +175,10 @@
             deliver_body();
         } else if (unmatched_) {
             skip_unmatched_response();
+        } else if (!bytes.empty() &&
+                   !message_parser::begins_final_response(bytes)) {
+            fail(call_failure::malformed);
+            return;
         } else {
             reusable_ = bytes.empty() && parser_.keeps_alive() &&
                         channel_->unsent_bytes() == 0;
@@ -266,8 +270,11 @@
     if (state_ != state::busy) {
         return;
     }
+    // A server that closes while its request is still being sent may have ended
+    // within its response.
     if (!reason && parser_.has_head() && !unmatched_ &&
-        parser_.framing() == body_framing::until_close) {
+        parser_.framing() == body_framing::until_close &&
+        channel_->unsent_bytes() == 0) {
         parser_.finish();
         reusable_ = false;
         complete();
--- a/tests/libgateway/faulty_servers_test.cpp
+++ b/tests/libgateway/faulty_servers_test.cpp
@@ -194,6 +194,70 @@
     BOOST_TEST(answer.body.find("event 4") != std::string::npos);
 }
 
+namespace {
+
+std::string const fields = "X-Attempt-Id: ID\r\nX-Response-Seal: s\r\n";
+
+/// \return answers that a backend server may not send
+std::vector<std::string> invalid_answers()
+{
+    std::string const empty = "Content-Length: 0\r\n\r\n";
+    return {"HTTP/1.1 000 Zero\r\n" + fields + empty,
+            "HTTP/1.1 099 Low\r\n" + fields + empty,
+            "HTTP/1.1 600 High\r\n" + fields + empty,
+            "HTTP/1.1 101 Switching\r\n" + fields + "\r\n",
+            "HTTP/1.1 204 None\r\n" + fields + "\r\nabc",
+            "HTTP/1.1 304 Same\r\n" + fields + "\r\nabc",
+            head + "Content-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+            head + empty + "HTTP/1.1 100 Continue\r\n\r\n"};
+}
+
+} // namespace
+
+// Statuses such as 099 reached the caller.
+BOOST_AUTO_TEST_CASE(an_invalid_answer_reaches_the_caller)
+{
+    for (auto const& text : invalid_answers()) {
+        faulty_server_fixture world{{text, "", {}}};
+        auto const answer = world.send_and_wait(0, "POST", "/once/a", "id-1");
+        BOOST_TEST_CONTEXT(text)
+        {
+            BOOST_TEST(answer.status == 502);
+        }
+    }
+}
+
+// The same for a request that another daemon has passed on.
+BOOST_AUTO_TEST_CASE(an_invalid_answer_reaches_the_daemon_that_passed_it_on)
+{
+    for (auto const& text : invalid_answers()) {
+        faulty_server_fixture world{{text, "", {}}};
+        auto const answer =
+            world.send_with_fields(0, "POST", "/once/a", "id-1",
+                                   {{"Medlarstall-Passed-On-By", "edge-9"}});
+        BOOST_REQUIRE(world.run_until([&] { return answer->ended(); }));
+        BOOST_TEST_CONTEXT(text)
+        {
+            BOOST_TEST(answer->status == 502);
+        }
+    }
+}
+
+// A probe took an invalid answer for a sign of health.
+BOOST_AUTO_TEST_CASE(an_invalid_answer_to_a_probe_shows_a_healthy_server)
+{
+    auto const text = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+                      "HTTP/1.1 100 Continue\r\n\r\n";
+    faulty_server_fixture world{{text, "", {}, "", std::string::npos, true}};
+    for (int round = 0; round < 6; ++round) {
+        std::ignore =
+            world.send(0, "POST", "/once/a", "probe-" + std::to_string(round));
+        world.run_for(300ms);
+    }
+    BOOST_TEST(world.log_text().find("now=up reason=answered") ==
+               std::string::npos);
+}
+
 // Reported of other systems: a daemon kept all that faulty servers sent without
 // end, and ran out of memory.
 BOOST_AUTO_TEST_CASE(endless_answers_to_health_checks_fill_the_memory)
