Test whole requests that wait for a slow backend server

Cause: requests that await an answer cannot be closed, so that their bodies must be bounded before they are read.

Change: client_limits has a crowd of 60 whole bodies of 4 MiB.

--- a/tests/clients/client_limits.py
+++ b/tests/clients/client_limits.py
@@ -32,6 +32,7 @@
 FILE_DESCRIPTORS = 200
 LARGE_ANSWER = 8_000_000
 CUT_OFF_S = 1.5
+SLOW_S = 6
 
 
 class LimitedGateway(harness.Gateway):
@@ -49,9 +50,11 @@
 
 class ImpatientRunner(Runner):
     """Answers /order/large with a large body, and resets a connection of which
-    nothing was read for CUT_OFF_S."""
+    nothing was read for CUT_OFF_S. Works on /order/slow for SLOW_S."""
 
     async def run(self, method, target, head, headers, reader, writer):
+        if target.startswith("/order/slow"):
+            await asyncio.sleep(SLOW_S)
         if not target.startswith("/order/large"):
             await super().run(method, target, head, headers, reader, writer)
             return
@@ -204,6 +207,7 @@
 CASES = {
     "chunked_short_of_end": crowd_of("chunked_short_of_end", 60),
     "announced_short_of_end": crowd_of("announced_short_of_end", 60),
+    "whole_bodies": crowd_of("whole_bodies", 60),
     "one_byte_chunks": crowd_of("one_byte_chunks", 100, memory_mb=32,
                                 read_s=4),
     "chunked_over_limit": crowd_of("chunked_over_limit", 60),
--- a/tests/clients/crowd.py
+++ b/tests/clients/crowd.py
@@ -103,6 +103,14 @@
         writer.write(b"a" * (total % LARGE_CHUNK))
         await writer.drain()
 
+    async def whole_bodies(self, writer):
+        """Complete requests that the backend server works on for long."""
+        writer.write(request_head(self.case, f"Content-Length: {MAX_BODY}",
+                                  "/order/slow"))
+        for _ in range(MAX_BODY // LARGE_CHUNK):
+            writer.write(b"w" * LARGE_CHUNK)
+            await writer.drain()
+
     async def one_byte_chunks(self, writer):
         writer.write(request_head(self.case, CHUNKED))
         for _ in range(300):
