--- a/src/libhttp/src/message_parser.cpp
+++ b/src/libhttp/src/message_parser.cpp
@@ -1,5 +1,7 @@
 #include <medlarstall/http/message_parser.hpp>
 
+#include <medlarstall/http/memory_account.hpp>
+
 #include <algorithm>
 #include <cctype>
 #include <utility>
@@ -34,10 +36,14 @@
     });
 }
 
+constexpr int no_content = 204;
+constexpr int not_modified = 304;
+constexpr int switching_protocols = 101;
+constexpr int min_status = 100;
+constexpr int max_status = 599;
+
 bool may_have_body(int status)
 {
-    constexpr int no_content = 204;
-    constexpr int not_modified = 304;
     return status / 100 != 1 && status != no_content && status != not_modified;
 }
 
@@ -102,12 +108,16 @@
                                                               : HTTP_RESPONSE);
     parser_.data = this;
     limits_ = limits;
+    release_text(request_.target);
     request_ = {};
+    release_text(response_.reason);
     response_ = {};
-    pending_header_ = {};
+    release_text(pending_header_.name);
+    release_text(pending_header_.value);
     body_.clear();
     head_bytes_ = 0;
     body_bytes_ = 0;
+    announced_bytes_ = 0;
     framing_ = body_framing::none;
     failure_ = parse_failure::none;
     value_started_ = no_body_ = started_ = false;
@@ -229,6 +239,9 @@
     } else {
         response_.status = static_cast<int>(parser_.status_code);
         parser_.upgrade = 0;
+        if (!is_valid_response()) {
+            return fail(parse_failure::malformed);
+        }
     }
     auto const chunked = (parser_.flags & F_CHUNKED) != 0;
     auto const has_length = (parser_.flags & F_CONTENTLENGTH) != 0;
@@ -236,6 +249,7 @@
         framing_ = body_framing::chunked;
     } else if (has_length) {
         framing_ = body_framing::length;
+        announced_bytes_ = parser_.content_length;
         if (parser_.content_length > limits_.max_body_bytes) {
             return fail(parse_failure::body_too_large);
         }
@@ -243,7 +257,11 @@
                may_have_body(response_.status)) {
         framing_ = body_framing::until_close;
     }
-    return no_body_ ? skip_body : read_body;
+    // http_parser reads a body of the stated length after any status.
+    auto const bodiless = kind_ == message_kind::response &&
+                          response_.status / 100 != 1 &&
+                          !may_have_body(response_.status);
+    return no_body_ || bodiless ? skip_body : read_body;
 }
 
 int message_parser::on_body(char const* data, std::size_t length)
@@ -252,10 +270,78 @@
     if (body_bytes_ > limits_.max_body_bytes) {
         return fail(parse_failure::body_too_large);
     }
+    grow_body(length);
     body_.append(data, length);
     return 0;
 }
 
+/// Doubles the buffer of the body when it is full, but never beyond what the
+/// body may have. The announced length alone reserves nothing.
+void message_parser::grow_body(std::size_t length)
+{
+    auto const needed = body_.size() + length;
+    if (kind_ == message_kind::response || needed <= body_.capacity()) {
+        return;
+    }
+    auto const doubled = std::max<std::uint64_t>(needed, 2 * body_.capacity());
+    auto const capacity = std::max<std::uint64_t>(
+        needed, std::min<std::uint64_t>(doubled, body_bound()));
+    // std::string::reserve() would itself double the capacity.
+    std::string grown;
+    grown.reserve(capacity);
+    grown.append(body_);
+    body_ = std::move(grown);
+}
+
+std::uint64_t message_parser::body_bound() const
+{
+    return framing_ == body_framing::length ? announced_bytes_
+                                            : limits_.max_body_bytes;
+}
+
+std::size_t message_parser::held_bytes() const
+{
+    return heap_bytes(body_) + heap_bytes(pending_header_.name) +
+           heap_bytes(pending_header_.value) + heap_bytes(request_.target) +
+           heap_bytes(response_.reason) + request_.headers.held_bytes() +
+           response_.headers.held_bytes();
+}
+
+void message_parser::release()
+{
+    reset(limits_);
+    release_text(body_);
+    interim_responses_ = {};
+}
+
+/// \return false for a status that a server may not send here, and for framing
+///     of a body that a response of its status does not have
+bool message_parser::is_valid_response() const
+{
+    auto const status = response_.status;
+    if (status < min_status || status > max_status ||
+        status == switching_protocols) {
+        return false;
+    }
+    auto const has_body =
+        (parser_.flags & F_CHUNKED) != 0 ||
+        parser_.uses_transfer_encoding != 0 ||
+        ((parser_.flags & F_CONTENTLENGTH) != 0 && parser_.content_length > 0);
+    // A 304 may state the length of the body that it leaves out.
+    auto const needs_none = status / 100 == 1 || status == no_content;
+    return !needs_none || !has_body;
+}
+
+bool message_parser::begins_final_response(std::string_view rest)
+{
+    constexpr std::string_view version = "HTTP/1.";
+    constexpr std::size_t status_at = version.size() + 2; // Digit and blank.
+    if (!rest.starts_with(version.substr(0, rest.size()))) {
+        return false;
+    }
+    return rest.size() <= status_at || rest[status_at] != '1';
+}
+
 int message_parser::on_complete()
 {
     auto const interim =
