--- a/src/libduty/src/lease_policy.cpp
+++ b/src/libduty/src/lease_policy.cpp
@@ -158,10 +158,11 @@
 
 void lease_policy::become_holder(open_write const& done, time_point now)
 {
-    holding_.emplace();
-    holding_->token = done.record.token;
-    holding_->taken_at = now;
-    holding_->previous_holder = done.record.previous_holder;
+    holding taken;
+    taken.token = done.record.token;
+    taken.taken_at = now;
+    taken.previous_holder = done.record.previous_holder;
+    holding_ = std::move(taken);
     findings_.emplace_back(
         became_holder{done.record.token, done.record.states});
 }
--- a/src/libgateway/include/medlarstall/gateway/duty_service.hpp
+++ b/src/libgateway/include/medlarstall/gateway/duty_service.hpp
@@ -81,8 +81,13 @@
     /// Makes no further calls, and releases the lease.
     void stop();
 
-    /// \return what to tell peers; empty if nothing is known
-    [[nodiscard]] std::optional<duty::lease_notice> notice() const;
+    /// Selects what to tell peers with the next update. Only the holder, the
+    /// first daemons in the order of the names, and those that have just read
+    /// the store tell of each renewal, and only once: if all daemons of a cell
+    /// did with each update, that would take most of the bytes that control
+    /// work may take.
+    /// \return the notice; empty if there is nothing to tell
+    [[nodiscard]] std::optional<duty::lease_notice> take_notice();
 
     /// \return true if this daemon is the holder and may act
     [[nodiscard]] bool is_active() const;
@@ -142,6 +147,12 @@
     duty::lease_settings times_;
     duty::lease_policy policy_;
     suspension_watch watch_;
+    std::size_t place_ = 0; ///< In the order of the names.
+    /// What peers were told last, and when that renewal took place.
+    std::optional<duty::lease_notice> told_;
+    time_point told_renewal_;
+    time_point told_first_at_;  ///< When they were told of that token first.
+    bool read_to_tell_ = false; ///< The store was read since.
     std::vector<held_duty> duties_;
     /// Revisions of the states in the renewal that was built last, and of those
     /// that are not acknowledged yet, by the number of the write.
--- a/src/libgateway/src/duty_service.cpp
+++ b/src/libgateway/src/duty_service.cpp
@@ -24,6 +24,12 @@
 constexpr std::size_t min_unanswered = 3;
 /// Time for which it then does not take the lease.
 constexpr milliseconds step_down_time{15000};
+/// Daemons that pass on what they hear of the lease.
+constexpr std::size_t telling_daemons = 3;
+/// Ages of renewals that are passed on differ by less.
+constexpr milliseconds renewal_accuracy{100};
+/// A release is told with each update for this long.
+constexpr milliseconds release_telling_time{2000};
 /// Share of the allowed rate of calls that is used. The platform counts in its
 /// own seconds, and the holder may have changed in one.
 constexpr double used_rate_share = 0.5;
@@ -94,6 +100,7 @@
 {
     check_suspension();
     auto const now = context_.now();
+    place_ = place;
     policy_.set_place(place, known + 1);
     consider_step_down(now, live);
     release_when_quiet(now);
@@ -125,9 +132,32 @@
     policy_.on_notice(notice, context_.now());
 }
 
-std::optional<duty::lease_notice> duty_service::notice() const
+std::optional<duty::lease_notice> duty_service::take_notice()
 {
-    return policy_.notice(context_.now());
+    auto const now = context_.now();
+    auto known = policy_.notice(now);
+    auto const tells =
+        policy_.is_holder() || place_ < telling_daemons || read_to_tell_;
+    if (!known || !tells) {
+        return std::nullopt;
+    }
+    auto const is_same = told_ && told_->token == known->token &&
+                         told_->released == known->released;
+    if (!is_same) {
+        told_first_at_ = now;
+    }
+    auto const renewal = now - known->age;
+    auto const is_renewed = renewal > told_renewal_ + renewal_accuracy;
+    // The next holder takes the lease at once after a release.
+    auto const repeats =
+        known->released && now - told_first_at_ < release_telling_time;
+    if (is_same && !is_renewed && !repeats) {
+        return std::nullopt;
+    }
+    told_ = known;
+    told_renewal_ = renewal;
+    read_to_tell_ = false;
+    return known;
 }
 
 bool duty_service::is_active() const
@@ -266,6 +296,7 @@
         }
     }
     policy_.on_read(topic, now);
+    read_to_tell_ = true;
     run_policy();
     context_.announce();
 }
--- a/src/libgateway/src/gateway_peers.cpp
+++ b/src/libgateway/src/gateway_peers.cpp
@@ -94,7 +94,7 @@
     update.unidentified_streams = streams_to_announce(monotonic_clock::now());
     update.open_streams = unidentified_streams();
     if (duty_service_) {
-        update.lease = duty_service_->notice();
+        update.lease = duty_service_->take_notice();
     }
     return update;
 }
--- a/tests/libgateway/duty_simulation.cpp
+++ b/tests/libgateway/duty_simulation.cpp
@@ -165,9 +165,9 @@
         start_read(index, std::move(done));
     };
     context.store.append_at =
-        [this, index](gateway::record_topic, gateway::record record,
+        [this, index](gateway::record_topic, gateway::record const& record,
                       std::uint64_t at, gateway::append_handler done) {
-            start_append(index, std::move(record), at, std::move(done));
+            start_append(index, record, at, std::move(done));
         };
     item.service = std::make_shared<gateway::duty_service>(
         std::move(context), service_settings(fencing_enforced_), item.name,
@@ -183,7 +183,7 @@
         return;
     }
     if (item.frozen_at) {
-        item.delayed.push_back([this, index, life] { tick(index, life); });
+        item.delayed.emplace_back([this, index, life] { tick(index, life); });
         return;
     }
     std::size_t before = 0;
@@ -202,7 +202,7 @@
 {
     auto& item = *machines_[index];
     item.told_at = now_;
-    auto const notice = item.service->notice();
+    auto const notice = item.service->take_notice();
     for (auto other = index % cells_; other < machines_.size();
          other += cells_) {
         auto const& target = *machines_[other];
@@ -239,8 +239,8 @@
 {
     ++calls_.reads;
     auto const life = machines_[index]->life;
-    auto const reply = [this, index, life,
-                        done = std::move(done)](gateway::read_result outcome) {
+    auto const reply = [this, index, life, done = std::move(done)](
+                           gateway::read_result const& outcome) {
         deliver(index, life, [done, outcome] { done(outcome); });
     };
     auto const takes =
@@ -264,7 +264,8 @@
     }
 }
 
-void duty_simulation::start_append(std::size_t index, gateway::record item,
+void duty_simulation::start_append(std::size_t index,
+                                   gateway::record const& item,
                                    std::uint64_t at,
                                    gateway::append_handler done)
 {
--- a/tests/libgateway/duty_simulation.hpp
+++ b/tests/libgateway/duty_simulation.hpp
@@ -161,7 +161,8 @@
                  std::function<void()> action);
     void end_fault(duty_fault what, std::size_t target);
     void start_read(std::size_t index, medlarstall::gateway::read_handler done);
-    void start_append(std::size_t index, medlarstall::gateway::record item,
+    void start_append(std::size_t index,
+                      medlarstall::gateway::record const& item,
                       std::uint64_t at,
                       medlarstall::gateway::append_handler done);
     void
