--- a/src/libgateway/include/medlarstall/gateway/gateway.hpp
+++ b/src/libgateway/include/medlarstall/gateway/gateway.hpp
@@ -355,6 +355,7 @@
                                  std::string_view bytes, time_point now);
     void tell_all_usage(time_point now);
     void update_usage_gauges();
+    void on_member_left(std::string const& address, time_point now);
     void advance_stop(time_point now);
     void update_gauges();
 
--- a/src/libgateway/src/gateway.cpp
+++ b/src/libgateway/src/gateway.cpp
@@ -404,6 +404,7 @@
         if (auto const* const known = members_.find(item.key)) {
             heard_daemons_.forget(known->update.daemon);
         }
+        on_member_left(item.key, now);
         members_.remove(item.key);
         note_departure(item.key, now);
     }
--- a/tests/libgateway/duty_simulation.cpp
+++ b/tests/libgateway/duty_simulation.cpp
@@ -103,6 +103,7 @@
     duration suspended{0};
     duration wall_moved{0};
     time_point told_at;
+    bool has_left = false; ///< Peers do not listen to it any more.
     int no_store = 0;
     int no_peers = 0;
     int no_platform = 0;
@@ -145,6 +146,7 @@
     auto& item = *machines_[index];
     auto const life = ++item.life;
     item.runs = true;
+    item.has_left = false;
     item.duty = std::make_unique<counting_duty>(
         content_interval_, stored_by_any_,
         [this](std::string const& rule) { violate(rule); });
@@ -165,9 +167,9 @@
         start_read(index, std::move(done));
     };
     context.store.append_at =
-        [this, index](gateway::record_topic, gateway::record record,
+        [this, index](gateway::record_topic, gateway::record const& record,
                       std::uint64_t at, gateway::append_handler done) {
-            start_append(index, std::move(record), at, std::move(done));
+            start_append(index, record, at, std::move(done));
         };
     item.service = std::make_shared<gateway::duty_service>(
         std::move(context), service_settings(fencing_enforced_), item.name,
@@ -183,7 +185,7 @@
         return;
     }
     if (item.frozen_at) {
-        item.delayed.push_back([this, index, life] { tick(index, life); });
+        item.delayed.emplace_back([this, index, life] { tick(index, life); });
         return;
     }
     std::size_t before = 0;
@@ -202,19 +204,33 @@
 {
     auto& item = *machines_[index];
     item.told_at = now_;
-    auto const notice = item.service->notice();
+    auto const notice = item.service->take_notice();
     for (auto other = index % cells_; other < machines_.size();
          other += cells_) {
         auto const& target = *machines_[other];
         auto const arrives = notice && other != index && target.runs &&
                              !target.frozen_at && item.no_peers == 0 &&
-                             target.no_peers == 0 && !happens(datagram_loss);
+                             !item.has_left && target.no_peers == 0 &&
+                             !happens(datagram_loss);
         if (arrives) {
             target.service->on_notice(*notice);
         }
     }
 }
 
+void duty_simulation::tell_departure(std::size_t index)
+{
+    for (std::size_t other = 0; other < machines_.size(); ++other) {
+        auto const life = machines_[other]->life;
+        schedule(between(5, 300), [this, index, other, life] {
+            deliver(other, life, [this, index, other] {
+                machines_[other]->service->on_daemon_left(
+                    machines_[index]->name);
+            });
+        });
+    }
+}
+
 void duty_simulation::schedule(duration delay, std::function<void()> action)
 {
     events_.push({now_ + delay, ++event_number_, std::move(action)});
@@ -239,8 +255,8 @@
 {
     ++calls_.reads;
     auto const life = machines_[index]->life;
-    auto const reply = [this, index, life,
-                        done = std::move(done)](gateway::read_result outcome) {
+    auto const reply = [this, index, life, done = std::move(done)](
+                           gateway::read_result const& outcome) {
         deliver(index, life, [done, outcome] { done(outcome); });
     };
     auto const takes =
@@ -264,7 +280,8 @@
     }
 }
 
-void duty_simulation::start_append(std::size_t index, gateway::record item,
+void duty_simulation::start_append(std::size_t index,
+                                   gateway::record const& item,
                                    std::uint64_t at,
                                    gateway::append_handler done)
 {
@@ -466,7 +483,9 @@
         break;
     case duty_fault::stopped:
         if (item.runs && !item.frozen_at) {
+            item.has_left = true;
             item.service->stop();
+            tell_departure(target);
         }
         break;
     case duty_fault::paused:
--- a/tests/libgateway/duty_simulation.hpp
+++ b/tests/libgateway/duty_simulation.hpp
@@ -156,12 +156,14 @@
     void start(std::size_t index);
     void tick(std::size_t index, std::uint64_t life);
     void send_notice(std::size_t index);
+    void tell_departure(std::size_t index);
     void schedule(medlarstall::duration delay, std::function<void()> action);
     void deliver(std::size_t index, std::uint64_t life,
                  std::function<void()> action);
     void end_fault(duty_fault what, std::size_t target);
     void start_read(std::size_t index, medlarstall::gateway::read_handler done);
-    void start_append(std::size_t index, medlarstall::gateway::record item,
+    void start_append(std::size_t index,
+                      medlarstall::gateway::record const& item,
                       std::uint64_t at,
                       medlarstall::gateway::append_handler done);
     void
