--- a/tests/libduty/usage_simulation_test.cpp
+++ b/tests/libduty/usage_simulation_test.cpp
@@ -437,6 +437,31 @@
     BOOST_TEST(reporter.counters().late == late + 1);
 }
 
+// A new holder that has heard nothing of the other cells fixed a window without
+// their rows.
+BOOST_AUTO_TEST_CASE(a_new_holder_waits_for_the_rows_of_other_cells)
+{
+    time_point now{1000s};
+    usage_reporter counting{"a", 1, {}};
+    usage_reporter holder{"b", 1, {}};
+    counting.tick(start, now);
+    counting.count("busy", now);
+    now += 7200ms; // The window may be fixed.
+    counting.tick(start + 7200ms, now);
+    holder.tick(start + 7200ms, now);
+    holder.duty().on_taken("", now);
+    BOOST_TEST(holder.duty().due_calls(now).empty());
+    BOOST_TEST(holder.duty().revision() == 0U);
+    holder.on_collected_rows(counting.collected_rows(now));
+    now += 1300ms;
+    BOOST_TEST(holder.duty().due_calls(now).empty()); // It is not stored.
+    holder.duty().on_stored(holder.duty().revision());
+    auto const calls = holder.duty().due_calls(now);
+    BOOST_REQUIRE(calls.size() == 1U);
+    BOOST_TEST((std::get<usage_report>(calls.at(0)).counts ==
+                organisation_counts{{"busy", 1}}));
+}
+
 // Without a stored state, a window that peers know to be fixed would get a
 // second content.
 BOOST_AUTO_TEST_CASE(the_stored_state_is_lost)
