Judge lost paths by the share of servers that are down

Cause: two failed servers without a contact between them counted as lost paths, and so did two refused connections of one request. With a third of the servers down that is every eighth request. Each daemon found each server down by itself, and a request was refused after four refused connections, a few milliseconds.

Ruled out: more failures alone (a cut daemon with few requests would notice too late), marking a server down on one report (a daemon that has lost its paths would take it from all), and the age of the contact alone (an idle daemon has none that is recent).

Change: failures count only if they are unlikely, by the share of servers that other daemons cannot reach either and the time for which they have gone on. Two daemons must have failed before a server is tried last; an answer to any outweighs them, and a server that refused this daemon is used again once another was answered. A refused connection is followed by the next server at once, up to 16 times. A request that all servers have refused is forwarded, and no request is forwarded twice.

--- a/src/libdispatch/include/medlarstall/dispatch/attempt_policy.hpp
+++ b/src/libdispatch/include/medlarstall/dispatch/attempt_policy.hpp
@@ -10,6 +10,7 @@
 /// How sending a request to a backend server failed.
 enum class send_failure
 {
+    refused,        ///< The connection was refused at once.
     not_sent,       ///< No byte of the request was sent.
     rejected,       ///< The backend server stated that it did not run it.
     outcome_unknown ///< The backend server may have run the request.
@@ -33,8 +34,11 @@
 {
     /// Backend servers that received it.
     std::uint32_t servers_reached = 0;
-    /// Connections that failed before any byte of the request was sent.
+    /// Connections that failed, not at once, before any byte of the request was
+    /// sent.
     std::uint32_t failed_connections = 0;
+    /// Connections that were refused at once, which costs about a millisecond.
+    std::uint32_t refused_connections = 0;
     bool may_have_run = false; ///< Whether a backend server may have run it.
 };
 
@@ -45,7 +49,7 @@
 /// \param record attempts of the request; updated with this failure
 /// \param failure how the last attempt failed
 /// \return what to do; send_again needs the retry budget as well, except after
-///     not_sent
+///     refused and not_sent
 [[nodiscard]] next_step step_after_failure(routes::route const& route,
                                            attempt_record& record,
                                            send_failure failure);
--- a/src/libdispatch/include/medlarstall/dispatch/dispatcher.hpp
+++ b/src/libdispatch/include/medlarstall/dispatch/dispatcher.hpp
@@ -16,6 +16,7 @@
 #include <medlarstall/dispatch/return_schedule.hpp>
 #include <medlarstall/dispatch/server_health.hpp>
 #include <medlarstall/dispatch/server_rate_limit.hpp>
+#include <medlarstall/dispatch/server_reports.hpp>
 #include <medlarstall/routes/route_table.hpp>
 #include <medlarstall/support/time.hpp>
 
@@ -216,6 +217,50 @@
     std::optional<limited_return> book_return(placement_request const& request,
                                               time_point now);
 
+    /// Called when this daemon could not reach a backend server.
+    /// \param id id of the backend server
+    /// \param started_unix_ms start of the run that it tried to reach
+    /// \param kind refused or silent
+    /// \param now current time
+    /// \return true if the peers should be told at once
+    bool on_server_failure(std::string_view id, std::int64_t started_unix_ms,
+                           report_kind kind, time_point now);
+
+    /// Called when a backend server has sent anything to this daemon.
+    /// \param id id of the backend server
+    /// \param now current time
+    void on_server_answer(std::string_view id, time_point now);
+
+    /// Adds what another daemon has observed of a backend server.
+    /// \param daemon hash of its name
+    /// \param report the observation; ignored if it is of another run
+    /// \param now current time
+    /// \return true if the server was down for this daemon and is used again
+    bool merge_server_report(std::uint64_t daemon, server_report const& report,
+                             time_point now);
+
+    /// \param now current time
+    /// \return the newest own observations to tell the peers
+    [[nodiscard]] std::vector<server_report>
+    server_reports_to_tell(time_point now) const;
+
+    /// Backend servers of a service that other daemons cannot reach.
+    struct failed_elsewhere
+    {
+        std::vector<std::string> servers; ///< Sorted.
+        std::size_t listed = 0; ///< Number of all servers of the service.
+    };
+
+    /// \param now current time
+    /// \return by service, what other daemons cannot reach; services without
+    ///     any such server are left out
+    [[nodiscard]] std::map<std::string, failed_elsewhere>
+    servers_failed_elsewhere(time_point now) const;
+
+    /// \return number of backend servers that several daemons cannot reach
+    /// \param now current time
+    [[nodiscard]] std::size_t doubted_server_count(time_point now) const;
+
     /// \return number of backend servers that have a rate limit
     [[nodiscard]] std::size_t limited_server_count() const;
 
@@ -371,6 +416,7 @@
         limit_sharers sharers;
         /// Value of limit_division_.revision() from which sharers was computed.
         std::uint64_t sharers_revision = 0;
+        server_reports reports; ///< Of all daemons.
         bool leaving = false;
         /// When it announced to this daemon that it leaves; empty if only
         /// another daemon was told.
--- a/src/libdispatch/src/attempt_policy.cpp
+++ b/src/libdispatch/src/attempt_policy.cpp
@@ -6,6 +6,9 @@
 
 /// Number of failed connections from which on a request is not sent again.
 constexpr std::uint32_t max_failed_connections = 4;
+/// Number of refused connections from which on a request is not sent again. If
+/// a third of the servers is down unknown to all, 1 in 40 million reaches it.
+constexpr std::uint32_t max_refused_connections = 16;
 
 } // namespace
 
@@ -30,6 +33,12 @@
 next_step step_after_failure(routes::route const& route, attempt_record& record,
                              send_failure failure)
 {
+    if (failure == send_failure::refused) {
+        ++record.refused_connections;
+        return record.refused_connections < max_refused_connections
+                   ? next_step::send_again
+                   : step_without_retry(record);
+    }
     if (failure == send_failure::not_sent) {
         ++record.failed_connections;
         return record.failed_connections < max_failed_connections
--- a/src/libdispatch/src/dispatcher_choice.cpp
+++ b/src/libdispatch/src/dispatcher_choice.cpp
@@ -214,10 +214,14 @@
 {
     auto const& entry = server.listing->entry;
     auto const& record = *server.record;
+    // What several daemons cannot reach is tried last.
+    auto const state = record.reports.is_doubted(now)
+                           ? health::down
+                           : record.health_tracker.state();
     auto const fits = !request.software_version ||
                       *request.software_version == entry.software_version;
     return fits && !entry.draining && !record.leaving &&
-           record.health_tracker.state() <= worst_health &&
+           state <= worst_health &&
            record.pause.admits(record.own_load.in_flight, now) &&
            std::ranges::find(request.excluded_servers, entry.id) ==
                request.excluded_servers.end();
--- a/src/libdispatch/src/server_paths.cpp
+++ b/src/libdispatch/src/server_paths.cpp
@@ -1,6 +1,8 @@
 #include <medlarstall/dispatch/server_paths.hpp>
 
 #include <algorithm>
+#include <cmath>
+#include <utility>
 
 namespace medlarstall::dispatch {
 
@@ -14,7 +16,11 @@
 void server_paths::on_failure(std::string_view service, std::string_view server,
                               time_point now)
 {
-    auto& failures = services_[std::string{service}].failures;
+    auto& known = services_[std::string{service}];
+    auto& failures = known.failures;
+    if (failures.empty()) {
+        known.failing_since = now;
+    }
     failures.insert_or_assign(std::string{server}, now);
     std::erase_if(failures, [&](auto const& item) {
         return now - item.second > settings_.failure_lifetime;
@@ -26,10 +32,40 @@
 {
     return static_cast<std::size_t>(
         std::ranges::count_if(service.failures, [&](auto const& item) {
-            return now - item.second <= settings_.failure_lifetime;
+            return now - item.second <= settings_.failure_lifetime &&
+                   !std::ranges::binary_search(service.failed_elsewhere,
+                                               item.first);
         }));
 }
 
+void server_paths::set_failed_elsewhere(std::string_view service,
+                                        std::vector<std::string> servers,
+                                        std::size_t listed)
+{
+    auto& known = services_[std::string{service}];
+    known.down_share = listed > 0 ? static_cast<double>(servers.size()) /
+                                        static_cast<double>(listed)
+                                  : 0.0;
+    known.failed_elsewhere = std::move(servers);
+}
+
+void server_paths::clear_failed_elsewhere()
+{
+    for (auto& [name, service] : services_) {
+        service.failed_elsewhere.clear();
+        service.down_share = 0;
+    }
+}
+
+bool server_paths::is_chance(std::size_t failures, double down_share,
+                             bool early) const
+{
+    auto const share = early ? std::max(down_share, settings_.largest_crash)
+                             : std::min(down_share, settings_.largest_crash);
+    auto const likelihood = std::pow(share, static_cast<double>(failures));
+    return likelihood > (early ? settings_.early_chance : settings_.chance);
+}
+
 /// \return true if the paths to another service are lost by their own evidence
 bool server_paths::loses_another(std::string_view service, time_point now) const
 {
@@ -56,10 +92,36 @@
     auto const needed = loses_another(service, now)
                             ? std::size_t{1}
                             : settings_.min_failed_servers;
-    evidence.lost = evidence.failed_servers >= needed;
+    evidence.down_share = known.down_share;
+    auto const early = known.last_contact &&
+                       now - known.failing_since < settings_.min_failing_time;
+    evidence.lost =
+        evidence.failed_servers >= needed &&
+        !is_chance(evidence.failed_servers, known.down_share, early);
     return evidence;
 }
 
+char const*
+server_paths::reason_to_forward(path_evidence const& evidence,
+                                connection_failures const& failures) const
+{
+    constexpr std::uint32_t min_failures = 2;
+    if (evidence.lost) {
+        return "paths_lost";
+    }
+    if (failures.no_server_left &&
+        failures.refused + failures.failed >= min_failures) {
+        return "no_server_left";
+    }
+    auto const many_refused =
+        failures.refused >= min_failures &&
+        !is_chance(failures.refused, evidence.down_share, true);
+    auto const many_failed =
+        failures.failed >= min_failures &&
+        !is_chance(failures.failed, evidence.down_share, false);
+    return many_refused || many_failed ? "connections_refused" : nullptr;
+}
+
 std::vector<std::string> server_paths::take_due_checks(time_point now)
 {
     std::vector<std::string> due;
--- a/src/libgateway/include/medlarstall/gateway/forwarded_request.hpp
+++ b/src/libgateway/include/medlarstall/gateway/forwarded_request.hpp
@@ -67,9 +67,11 @@
     /// server. The second argument is true if its shared parts are new to that
     /// server; the announcement is then sent at once.
     std::function<void(sent_prompt_parts, bool)> announce_prompt;
-    /// Called with the id of a backend server that could not be reached, and
-    /// the start of its run as stated by the entry by which it was chosen.
-    std::function<void(std::string const&, std::int64_t)> on_server_unreachable;
+    /// Called with the id of a backend server that could not be reached, the
+    /// start of its run as stated by the entry by which it was chosen, and
+    /// whether it refused the connection at once.
+    std::function<void(std::string const&, std::int64_t, bool)>
+        on_server_unreachable;
     /// Called with the id of a backend server and the metadata of its answer,
     /// if the entry of no later run was read since the request was sent. The
     /// last argument is the time at which the request was sent if the answer is
@@ -257,7 +259,7 @@
     /// or answers an error if none can be used.
     void choose_server();
     void choose_again_after(duration delay);
-    bool pass_on(time_point now);
+    bool pass_on(time_point now, bool no_server_left = false);
     dispatch::caller_view view_caller() const;
     time_point patient_until() const;
     bool end_if_read_late();
@@ -376,6 +378,7 @@
     dispatch::attempt_record attempts_;
     std::vector<std::string> tried_servers_;
     std::vector<std::string> tried_peers_; ///< Names of daemons.
+    bool was_forwarded_ = false;           ///< A peer has got it, or may have.
     std::optional<send_state> current_send_;
     std::uint64_t send_count_ = 0;
     event_splitter splitter_;
--- a/src/libgateway/include/medlarstall/gateway/gateway.hpp
+++ b/src/libgateway/include/medlarstall/gateway/gateway.hpp
@@ -245,7 +245,13 @@
                         http::response const& answer);
     void on_probe_result(std::string const& id, bool good, char const* reason);
     void on_server_unreachable(std::string const& id,
-                               std::int64_t started_unix_ms);
+                               std::int64_t started_unix_ms, bool refused);
+    void note_server_failure(std::string const& id,
+                             std::int64_t started_unix_ms,
+                             dispatch::report_kind kind);
+    void merge_server_reports(peer_update const& update, time_point now);
+    std::vector<dispatch::server_report> reports_to_tell(time_point now) const;
+    void update_failed_elsewhere(time_point now);
     void on_server_down(std::string const& id, std::int64_t started_unix_ms,
                         time_point now);
     void on_server_metadata(std::string const& id,
@@ -389,6 +395,9 @@
         time_point found_at;
     };
     std::deque<found_crash> recent_crashes_;
+    /// A server could not be reached, which no other daemon has told.
+    bool report_to_announce_ = false;
+    bool has_failed_elsewhere_ = false;
     bool crash_to_announce_ = false; ///< One was found since the last update.
     /// Whether a rate limit has changed since the last update was sent.
     bool rate_limit_changed_ = false;
--- a/src/libgateway/include/medlarstall/gateway/peer_update.hpp
+++ b/src/libgateway/include/medlarstall/gateway/peer_update.hpp
@@ -69,6 +69,9 @@
     std::vector<std::uint64_t> open_streams;
     /// Services whose backend servers the sender reaches.
     std::vector<std::string> reached_services;
+    /// What the sender has observed of backend servers that it, or another
+    /// daemon, could not reach. Daemons of an older version send none.
+    std::vector<dispatch::server_report> server_reports;
 };
 
 /// \param update update to send
--- a/src/libgateway/src/forwarded_request.cpp
+++ b/src/libgateway/src/forwarded_request.cpp
@@ -154,6 +154,9 @@
         admit_or_refuse(*placement, now);
         return;
     }
+    if (pass_on(now, true)) {
+        return;
+    }
     auto const pause =
         dispatch::wait_before_next_placement(*request_.route, now - began_at_);
     if (pause > duration::zero()) {
--- a/src/libgateway/src/forwarded_request_failure.cpp
+++ b/src/libgateway/src/forwarded_request_failure.cpp
@@ -12,6 +12,10 @@
 
 constexpr int bad_gateway = 502;
 
+/// A connection that fails within this time was refused by the machine of the
+/// server.
+constexpr milliseconds max_refusal_time{50};
+
 /// Retry-After of a request that has crashed backend servers.
 constexpr milliseconds crash_retry_delay{5000};
 constexpr double percent = 100.0;
@@ -33,13 +37,17 @@
         failure != http::call_failure::nothing_sent) {
         note_path_failure(now);
     }
+    auto const was_refused =
+        failure == http::call_failure::not_connected &&
+        now - current_send_->reservation.sent_at < max_refusal_time;
     auto const& placement = current_send_->placement;
     auto const& server = placement.backend_server;
     if (failure != http::call_failure::malformed) {
         context_.processes.on_connection_lost(server, now);
     }
     if (failure == http::call_failure::not_connected) {
-        context_.on_server_unreachable(server, placement.started_unix_ms);
+        context_.on_server_unreachable(server, placement.started_unix_ms,
+                                       was_refused);
     } else if (failure != http::call_failure::malformed) {
         if (auto* const health = health_of_run()) {
             health->on_connection_lost(now);
@@ -50,9 +58,10 @@
     auto const not_sent = http::certainly_not_sent(failure);
     end_send(not_sent ? dispatch::send_outcome::cancelled
                       : dispatch::send_outcome::failed);
-    handle_send_failure(not_sent ? dispatch::send_failure::not_sent
-                                 : dispatch::send_failure::outcome_unknown,
-                        name_of(failure));
+    auto const kind = was_refused ? dispatch::send_failure::refused
+                      : not_sent  ? dispatch::send_failure::not_sent
+                                  : dispatch::send_failure::outcome_unknown;
+    handle_send_failure(kind, name_of(failure));
 }
 
 /// \return false if what is known by the id of the backend server that has the
@@ -82,7 +91,8 @@
 
 bool forwarded_request::take_retry_budget(dispatch::send_failure failure)
 {
-    if (failure == dispatch::send_failure::not_sent) {
+    if (failure == dispatch::send_failure::not_sent ||
+        failure == dispatch::send_failure::refused) {
         return true;
     }
     auto const decision =
--- a/src/libgateway/src/forwarded_request_peer.cpp
+++ b/src/libgateway/src/forwarded_request_peer.cpp
@@ -16,27 +16,29 @@
 constexpr int service_unavailable = 503;
 constexpr int first_client_error = 400;
 constexpr int first_server_error = 500;
-/// Most daemons that a request is passed on to, one after the other.
+/// Most daemons that a request is offered to, until one can be connected to.
 constexpr std::size_t max_peers = 3;
-/// Connections that failed from which on a request is passed on, although some
-/// older connections of this daemon may live on.
-constexpr std::uint32_t max_own_failed_connections = 2;
+constexpr double percent = 100.0;
 
 } // namespace
 
 /// Passes the request on to a daemon that reaches the backend servers, if this
-/// one does not. A request that a peer has passed on is not passed on again.
+/// one does not. That is done once: a request that a peer has passed on, or has
+/// refused, is not passed on again.
+/// \param no_server_left all backend servers have been tried
 /// \return true if that was done
-bool forwarded_request::pass_on(time_point now)
+bool forwarded_request::pass_on(time_point now, bool no_server_left)
 {
     if (request_.metadata.passed_on || caller_->response_started() ||
-        attempts_.servers_reached > 0 || tried_peers_.size() >= max_peers) {
+        attempts_.servers_reached > 0 || was_forwarded_ ||
+        tried_peers_.size() >= max_peers) {
         return false;
     }
     auto const evidence = context_.paths.examine(service_, now);
-    auto const refused =
-        attempts_.failed_connections >= max_own_failed_connections;
-    if (!evidence.lost && !refused) {
+    auto const* const reason = context_.paths.reason_to_forward(
+        evidence, {attempts_.refused_connections, attempts_.failed_connections,
+                   no_server_left});
+    if (reason == nullptr) {
         return false;
     }
     auto const helper = context_.find_helper(service_, hash_, tried_peers_);
@@ -47,13 +49,17 @@
         .with("id", request_.metadata.attempt_id)
         .with("service", service_)
         .with("peer", helper->daemon)
-        .with("reason", evidence.lost ? "paths_lost" : "connections_refused")
+        .with("reason", reason)
         .with("failed_servers", evidence.failed_servers)
+        .with("down_percent",
+              static_cast<std::int64_t>(evidence.down_share * percent))
+        .with("refused", attempts_.refused_connections)
         .with("contact_age", evidence.contact_age.value_or(duration{-1}))
         .with("heard_age", now - helper->last_heard)
         .with("waited", now - began_at_)
         .with("left", time_left(now));
     context_.metrics.count_state_change("passed_on");
+    context_.metrics.count_state_change(reason);
     send_to_peer(*helper, now);
     return true;
 }
@@ -95,11 +101,12 @@
     return is_caller_error || head.status == service_unavailable;
 }
 
-/// A peer has not run the request. Another may, or this daemon itself if only
-/// some of its connections have failed.
+/// A peer has not run the request. This daemon may itself if only some of its
+/// connections have failed.
 void forwarded_request::on_refused_by_peer()
 {
     auto const now = monotonic_clock::now();
+    was_forwarded_ = true;
     auto const wanted = current_send_->requested_pause;
     end_send(dispatch::send_outcome::rejected);
     log_entry{context_.log, log_category::failure, "peer_refused"}
@@ -107,7 +114,7 @@
         .with("peer", tried_peers_.back())
         .with("back", wanted.value_or(milliseconds{0}))
         .with("left", time_left(now));
-    if (withhold_send(now) || pass_on(now)) {
+    if (withhold_send(now)) {
         return;
     }
     if (context_.paths.examine(service_, now).lost) {
@@ -121,6 +128,7 @@
 void forwarded_request::on_peer_failed(http::call_failure failure)
 {
     auto const not_sent = http::certainly_not_sent(failure);
+    was_forwarded_ = !not_sent;
     end_send(not_sent ? dispatch::send_outcome::cancelled
                       : dispatch::send_outcome::failed);
     if (not_sent) {
--- a/src/libgateway/src/forwarded_request_relay.cpp
+++ b/src/libgateway/src/forwarded_request_relay.cpp
@@ -58,6 +58,9 @@
     if (!from_peer) {
         context_.paths.on_contact(service_, now);
     }
+    if (!from_peer && is_of_listed_run()) {
+        context_.dispatcher.on_server_answer(server, now);
+    }
     auto const misdirected = head.status == misdirected_request;
     auto const rejected = metadata.rejected || misdirected;
     if (is_of_listed_run()) {
@@ -167,6 +170,11 @@
     current_send_->last_progress_at = monotonic_clock::now();
     if (current_send_->peer.empty()) {
         context_.paths.on_contact(service_, current_send_->last_progress_at);
+        if (is_of_listed_run()) {
+            context_.dispatcher.on_server_answer(
+                current_send_->placement.backend_server,
+                current_send_->last_progress_at);
+        }
     }
     context_.dispatcher.on_answer_started(current_send_->reservation,
                                           current_send_->last_progress_at);
--- a/src/libgateway/src/gateway.cpp
+++ b/src/libgateway/src/gateway.cpp
@@ -112,8 +112,9 @@
                 send_peer_update(monotonic_clock::now(), true);
             }
         },
-        [this](std::string const& id, std::int64_t started_unix_ms) {
-            on_server_unreachable(id, started_unix_ms);
+        [this](std::string const& id, std::int64_t started_unix_ms,
+               bool refused) {
+            on_server_unreachable(id, started_unix_ms, refused);
         },
         [this](std::string const& id, answer_metadata const& metadata,
                std::optional<time_point> sent_at) {
--- a/src/libgateway/src/gateway_peers.cpp
+++ b/src/libgateway/src/gateway_peers.cpp
@@ -90,6 +90,7 @@
     update.sound_parts =
         parts.sound_since(announced_since, monotonic_clock::now());
     update.reached_services = paths_.reached_services(monotonic_clock::now());
+    update.server_reports = reports_to_tell(monotonic_clock::now());
     update.releases = origins_.mixed_releases(monotonic_clock::now());
     update.unidentified_streams = streams_to_announce(monotonic_clock::now());
     update.open_streams = unidentified_streams();
@@ -101,7 +102,7 @@
     auto const configuration = configuration_follower_->position();
     urgent = urgent || configuration != announced_configuration_ ||
              is_ready() != announced_ready_ || rate_limit_changed_ ||
-             crash_to_announce_ || read_to_announce_;
+             crash_to_announce_ || report_to_announce_ || read_to_announce_;
     auto const busy = !requests_.empty() || !pending_prompts_.empty() ||
                       !recent_crashes_.empty() || !unidentified_.empty();
     if (!urgent && now - update_sent_at_ <
@@ -124,6 +125,7 @@
                     encode(make_peer_update()));
     rate_limit_changed_ = false;
     crash_to_announce_ = false;
+    report_to_announce_ = false;
     read_to_announce_ = false;
     pending_prompts_.clear();
 }
@@ -207,6 +209,7 @@
         prompt.parts = note.parts;
         dispatcher_.merge_prompt(note.backend_server, prompt, now);
     }
+    merge_server_reports(update, now);
     auto& crashes = dispatcher_.crashes();
     for (auto const& note : update.crashes) {
         crashes.merge(note, now);
--- a/src/libgateway/src/gateway_upkeep.cpp
+++ b/src/libgateway/src/gateway_upkeep.cpp
@@ -86,6 +86,7 @@
     });
     check_requests(now);
     dispatcher_.crashes().parts().update(now);
+    update_failed_elsewhere(now);
     check_lost_paths(now);
     report_held_losses(now);
     log_blame_changes(settings_.name);
@@ -225,6 +226,11 @@
         }
         on_probe_result(id, good, reason);
     }
+    if (answered && !is_other) {
+        dispatcher_.on_server_answer(id, monotonic_clock::now());
+    } else {
+        note_server_failure(id, started_unix_ms, dispatch::report_kind::silent);
+    }
     // A run that answers has not crashed, even if it rejects the probe.
     if (!answered || is_other) {
         on_server_down(id, started_unix_ms, monotonic_clock::now());
@@ -249,9 +255,12 @@
 }
 
 void gateway::on_server_unreachable(std::string const& id,
-                                    std::int64_t started_unix_ms)
+                                    std::int64_t started_unix_ms, bool refused)
 {
     auto const now = monotonic_clock::now();
+    note_server_failure(id, started_unix_ms,
+                        refused ? dispatch::report_kind::refused
+                                : dispatch::report_kind::silent);
     on_server_down(id, started_unix_ms, now);
     auto* const state = dispatcher_.health_tracker_of(id);
     if (state == nullptr || !dispatcher_.is_listed_run(id, started_unix_ms)) {
--- a/src/libgateway/src/peer_update.cpp
+++ b/src/libgateway/src/peer_update.cpp
@@ -204,6 +204,25 @@
     return record;
 }
 
+json report_to_json(dispatch::server_report const& report)
+{
+    return json::array({report.backend_server, report.started_unix_ms,
+                        static_cast<int>(report.kind), report.age.count()});
+}
+
+/// \return the report; empty if it is of a kind that is not known yet
+std::optional<dispatch::server_report> report_from_json(json const& value)
+{
+    auto const kind = value.at(2).get<int>();
+    if (kind < static_cast<int>(dispatch::report_kind::refused) ||
+        kind > static_cast<int>(dispatch::report_kind::back)) {
+        return std::nullopt;
+    }
+    return dispatch::server_report{
+        value.at(0).get<std::string>(), value.at(1).get<std::int64_t>(),
+        static_cast<dispatch::report_kind>(kind), age_from_json(value.at(3))};
+}
+
 json read_to_json(std::optional<announced_read> const& read)
 {
     return read ? json::array(
@@ -273,6 +292,11 @@
         update.sound_parts.push_back(sound_from_json(item));
     }
     update.reached_services = value.value("h", std::vector<std::string>{});
+    for (auto const& item : value.value("rs", json::array())) {
+        if (auto const report = report_from_json(item)) {
+            update.server_reports.push_back(*report);
+        }
+    }
     for (auto const& item : value.value("u", json::array())) {
         update.releases.push_back(release_from_json(item));
     }
@@ -324,34 +348,37 @@
 
 std::string encode(peer_update const& update)
 {
-    return to_bytes(
-        {{"d", update.daemon},
-         {"i", update.incarnation},
-         {"n", update.sequence},
-         {"a", update.entry_address},
-         {"r", update.ready},
-         {"s", update.reads_store},
-         {"v", update.configuration_version},
-         {"c", position_to_json(update.configuration)},
-         {"b", position_to_json(update.servers)},
-         {"m", position_to_json(update.significant_servers)},
-         {"e", position_to_json(update.members)},
-         {"y", read_to_json(update.servers_read)},
-         {"j", read_to_json(update.configuration_read)},
-         {"o", update.store_steady_for ? json(update.store_steady_for->count())
-                                       : json()},
-         {"g", list_to_json(update.leaving, leaving_to_json)},
-         {"q", list_to_json(update.rate_limits, rate_limit_to_json)},
-         {"l", list_to_json(update.loads, load_to_json)},
-         {"p", list_to_json(update.prompts, prompt_to_json)},
-         {"x", list_to_json(update.crashes, crash_to_json)},
-         {"f", list_to_json(update.blamed_parts, blame_to_json)},
-         {"k", list_to_json(update.sound_parts, sound_to_json)},
-         {"h", update.reached_services},
-         {"z", update.open_streams},
-         {"u", list_to_json(update.releases, release_to_json)},
-         {"w",
-          list_to_json(update.unidentified_streams, unidentified_to_json)}});
+    json value = {
+        {"d", update.daemon},
+        {"i", update.incarnation},
+        {"n", update.sequence},
+        {"a", update.entry_address},
+        {"r", update.ready},
+        {"s", update.reads_store},
+        {"v", update.configuration_version},
+        {"c", position_to_json(update.configuration)},
+        {"b", position_to_json(update.servers)},
+        {"m", position_to_json(update.significant_servers)},
+        {"e", position_to_json(update.members)},
+        {"y", read_to_json(update.servers_read)},
+        {"j", read_to_json(update.configuration_read)},
+        {"o", update.store_steady_for ? json(update.store_steady_for->count())
+                                      : json()},
+        {"g", list_to_json(update.leaving, leaving_to_json)},
+        {"q", list_to_json(update.rate_limits, rate_limit_to_json)},
+        {"l", list_to_json(update.loads, load_to_json)},
+        {"p", list_to_json(update.prompts, prompt_to_json)},
+        {"x", list_to_json(update.crashes, crash_to_json)},
+        {"f", list_to_json(update.blamed_parts, blame_to_json)},
+        {"k", list_to_json(update.sound_parts, sound_to_json)},
+        {"h", update.reached_services},
+        {"z", update.open_streams},
+        {"u", list_to_json(update.releases, release_to_json)},
+        {"w", list_to_json(update.unidentified_streams, unidentified_to_json)}};
+    if (!update.server_reports.empty()) {
+        value["rs"] = list_to_json(update.server_reports, report_to_json);
+    }
+    return to_bytes(value);
 }
 
 result<peer_update> decode_peer_update(std::string_view bytes)
--- a/tests/libgateway/gateway_components_test.cpp
+++ b/tests/libgateway/gateway_components_test.cpp
@@ -157,6 +157,37 @@
                                          "aaaaaaaa")));
 }
 
+// Daemons of an older version send no observations of servers and ignore
+// those that they get; kinds of a newer version are left out.
+BOOST_AUTO_TEST_CASE(observations_of_servers_confuse_other_versions)
+{
+    using json = nlohmann::json;
+    auto update = make_update(5, 9);
+    BOOST_TEST(!json::from_cbor(encode(update)).contains("rs"));
+    BOOST_TEST(
+        value_of(decode_peer_update(encode(update))).server_reports.empty());
+    update.server_reports = {
+        {"s", 1700000000000, dispatch::report_kind::refused, 40ms}};
+    auto sent = json::from_cbor(encode(update));
+    sent["rs"].push_back(json::array({"t", 1, 9, 5}));
+    sent["rs"].push_back(json::array({"u", 1, 2, -5}));
+    std::string bytes;
+    json::to_cbor(sent, bytes);
+    auto const read = decode_peer_update(bytes);
+    BOOST_REQUIRE(!failed(read));
+    auto const& reports = value_of(read).server_reports;
+    BOOST_REQUIRE(reports.size() == 2U);
+    BOOST_TEST(reports.at(0).backend_server == "s");
+    BOOST_TEST(reports.at(0).started_unix_ms == 1700000000000);
+    BOOST_TEST((reports.at(0).kind == dispatch::report_kind::refused));
+    BOOST_TEST((reports.at(0).age == 40ms));
+    BOOST_TEST((reports.at(1).age == 0ms));
+    sent["rs"] = json::array({json::array({"s"})});
+    bytes.clear();
+    json::to_cbor(sent, bytes);
+    BOOST_TEST(failed(decode_peer_update(bytes)));
+}
+
 BOOST_AUTO_TEST_CASE(a_deeply_nested_datagram_is_rejected)
 {
     constexpr std::size_t most_bytes = 65000;
