--- a/src/libgateway/include/medlarstall/gateway/peer_update.hpp
+++ b/src/libgateway/include/medlarstall/gateway/peer_update.hpp
@@ -82,6 +82,9 @@
     /// empty if the sender does not count requests or is of an older version.
     std::optional<duty::wall_time> wall_clock;
     std::optional<duty::usage_note> usage; ///< Requests that it has counted.
+    /// What the sender has observed of backend servers that it, or another
+    /// daemon, could not reach. Daemons of an older version send none.
+    std::vector<dispatch::server_report> server_reports;
 };
 
 /// \param update update to send
--- a/src/libgateway/src/peer_update.cpp
+++ b/src/libgateway/src/peer_update.cpp
@@ -206,6 +206,25 @@
     return record;
 }
 
+json report_to_json(dispatch::server_report const& report)
+{
+    return json::array({report.backend_server, report.started_unix_ms,
+                        static_cast<int>(report.kind), report.age.count()});
+}
+
+/// \return the report; empty if it is of a kind that is not known yet
+std::optional<dispatch::server_report> report_from_json(json const& value)
+{
+    auto const kind = value.at(2).get<int>();
+    if (kind < static_cast<int>(dispatch::report_kind::refused) ||
+        kind > static_cast<int>(dispatch::report_kind::back)) {
+        return std::nullopt;
+    }
+    return dispatch::server_report{
+        value.at(0).get<std::string>(), value.at(1).get<std::int64_t>(),
+        static_cast<dispatch::report_kind>(kind), age_from_json(value.at(3))};
+}
+
 json read_to_json(std::optional<announced_read> const& read)
 {
     return read ? json::array(
@@ -350,6 +369,11 @@
         update.sound_parts.push_back(sound_from_json(item));
     }
     update.reached_services = value.value("h", std::vector<std::string>{});
+    for (auto const& item : value.value("rs", json::array())) {
+        if (auto const report = report_from_json(item)) {
+            update.server_reports.push_back(*report);
+        }
+    }
     for (auto const& item : value.value("u", json::array())) {
         update.releases.push_back(release_from_json(item));
     }
@@ -442,6 +466,9 @@
     if (update.usage) {
         value["us"] = usage_to_json(*update.usage);
     }
+    if (!update.server_reports.empty()) {
+        value["rs"] = list_to_json(update.server_reports, report_to_json);
+    }
     return to_bytes(value);
 }
 
