Read the limits of autoscaling and whether servers are reclaimed

Cause: the configuration may state how many backend servers of a service may be ordered and what they cost, and list entries state whether a server may be reclaimed and when it leaves. Both were ignored. Change: routes::service has the optional aggregate autoscaling, read from the field of the service. backend_server_entry has reclaimable and time_left, both at the end, because entries are also initialised by position. Ruled out: rejecting a configuration for an invalid autoscaling field, since its routes do not depend on it; only that service is left without autoscaling. Fields of a list entry with a wrong type reject the entry, as all others do; null and a missing field mean unknown. Conclusion: without the fields nothing changes.

--- a/src/libdispatch/include/medlarstall/dispatch/backend_server_entry.hpp
+++ b/src/libdispatch/include/medlarstall/dispatch/backend_server_entry.hpp
@@ -1,7 +1,9 @@
 #ifndef MEDLARSTALL_DISPATCH_BACKEND_SERVER_ENTRY_HPP
 #define MEDLARSTALL_DISPATCH_BACKEND_SERVER_ENTRY_HPP
 
+#include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace medlarstall::dispatch {
@@ -25,6 +27,11 @@
     std::uint64_t sequence = 0;
     /// Version of its software, a text without an order.
     std::string software_version;
+    /// Whether the platform may reclaim it; false if not stated.
+    bool reclaimable = false;
+    /// Time until a draining server leaves, counted from the entry; empty if
+    /// not stated.
+    std::optional<std::chrono::milliseconds> time_left = std::nullopt;
 
     bool operator==(backend_server_entry const&) const = default;
 };
--- a/src/libroutes/include/medlarstall/routes/configuration.hpp
+++ b/src/libroutes/include/medlarstall/routes/configuration.hpp
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -71,12 +72,32 @@
     double link_mbps = 0; ///< Bandwidth between two backend servers.
 };
 
+/// How many backend servers of a service may be ordered, and what they cost.
+struct autoscaling
+{
+    /// Limits for each data centre, for both kinds of server together.
+    std::uint32_t min_servers = 0;
+    std::uint32_t max_servers = 0;
+    /// From the order of a server until it serves requests.
+    std::chrono::milliseconds boot_time{0};
+    /// Price of a server that may be reclaimed, relative to one that may not;
+    /// empty if there are none.
+    std::optional<double> reclaimable_price;
+    /// Price of a server for each second, by data centre. Servers are ordered
+    /// only in these data centres.
+    std::map<std::string, double> prices;
+
+    bool operator==(autoscaling const&) const = default;
+};
+
 /// A group of backend servers that run the same program.
 struct service
 {
     std::string name;
     std::string health_path;     ///< Path of the health check.
     std::optional<engine> model; ///< Empty without a language model.
+    /// Empty if the number of its backend servers is not to be changed.
+    std::optional<autoscaling> scaling;
 };
 
 /// An organisation and the keys of its callers.
--- a/tests/platform/malformed_input_test.cpp
+++ b/tests/platform/malformed_input_test.cpp
@@ -30,13 +30,16 @@
   "maxAttempts":2,"public":false,"streamResume":true,"targetGapMs":400}],
  "services":[{"name":"s1","healthCheckPath":"/healthz",
   "engine":{"slots":64,"kvCapacityTokens":493096,"kvBytes":18432,
-  "linkMbps":180000.0,"stride":3}}],
+  "linkMbps":180000.0,"stride":3},
+  "autoscale":{"minInstances":1,"maxInstances":60,"bootTimeS":4.0,
+   "spotPrice":0.18,"zonePrices":{"a":1.0,"b":0.8}}}],
  "limits":{"maxHeaderBytes":16384,"headerTimeoutMs":3000},
  "tenants":[{"name":"t","apiKeys":["k1","k2"],"priority":1}]})";
 
 std::string const entry_text =
     R"({"service":"s","address":"10.0.0.1:80","zone":"z","version":"v1",)"
-    R"("slots":64,"state":"ready","sequence":4,"born":1700000000000})";
+    R"("slots":64,"state":"ready","sequence":4,"born":1700000000000,)"
+    R"("spotEnabled":true,"leaves_ms":9000})";
 
 std::string const settings_text =
     "nodeName=edge-1\nzone=regina-a\nlisten.frontend=10.1.0.40:8227\n"
--- a/tests/platform/readers_test.cpp
+++ b/tests/platform/readers_test.cpp
@@ -92,6 +92,49 @@
     BOOST_TEST(!error_of(read).message.empty());
 }
 
+// Limits that contradict each other, or a price that is missing, must not lead
+// to orders, and must not stop the routes of the configuration.
+BOOST_AUTO_TEST_CASE(invalid_autoscaling_is_off_and_keeps_the_configuration)
+{
+    auto const scaling_with = [](std::string const& from,
+                                 std::string const& to) {
+        std::string field =
+            R"({"minInstances":1,"maxInstances":60,"bootTimeS":4.5,)"
+            R"("spotPrice":0.18,"zonePrices":{"a":1.0,"b":0.8},"x":1})";
+        field.replace(field.find(from), from.size(), to);
+        auto const read = read_configuration(
+            R"({"version":1,"routes":[],"services":[{"name":"s",)"
+            R"("autoscale":)" +
+            field + "}]}");
+        BOOST_REQUIRE(!failed(read));
+        return value_of(read).services.at(0).scaling;
+    };
+    auto const whole = scaling_with(R"("x")", R"("y")");
+    BOOST_REQUIRE(whole.has_value());
+    BOOST_TEST(whole->max_servers == 60U);
+    BOOST_TEST(whole->boot_time.count() == 4500);
+    BOOST_TEST(whole->reclaimable_price.value() == 0.18);
+    BOOST_TEST(whole->prices.at("b") == 0.8);
+    auto const no_reclaimable = scaling_with(R"("spotPrice")", R"("z")");
+    BOOST_REQUIRE(no_reclaimable.has_value());
+    BOOST_TEST(!no_reclaimable->reclaimable_price);
+    std::vector<std::pair<std::string, std::string>> const invalid{
+        {R"("minInstances":1)", R"("minInstances":61)"},
+        {R"("maxInstances":60)", R"("maxInstances":0)"},
+        {R"("maxInstances":60)", R"("maxInstances":"60")"},
+        {R"("bootTimeS":4.5)", R"("bootTimeS":-1)"},
+        {R"("spotPrice":0.18)", R"("spotPrice":"low")"},
+        {R"("a":1.0)", R"("a":-1)"},
+        {R"({"a":1.0,"b":0.8})", "{}"},
+        {R"("zonePrices")", R"("z")"}};
+    for (auto const& [from, to] : invalid) {
+        BOOST_TEST(!scaling_with(from, to).has_value(), to);
+    }
+    BOOST_TEST(!value_of(read_configuration(configuration_text))
+                    .services.at(0)
+                    .scaling.has_value());
+}
+
 RC_BOOST_PROP(corrupted_configuration_is_read_or_rejected, ())
 {
     std::string text = configuration_text;
@@ -113,6 +156,36 @@
     BOOST_TEST(value_of(read).started_unix_ms == 1700000000000);
 }
 
+// An entry of an older writer lacks these fields. Other types are rejected, as
+// in all other fields.
+BOOST_AUTO_TEST_CASE(reads_whether_a_server_is_reclaimed)
+{
+    auto const read_with = [](std::string const& fields) {
+        std::string text = entry_text;
+        text.insert(1, fields);
+        return read_server_entry("i", text);
+    };
+    auto const plain = value_of(read_with(""));
+    BOOST_TEST(!plain.reclaimable);
+    BOOST_TEST(!plain.time_left.has_value());
+    auto const unknown =
+        value_of(read_with(R"("spotEnabled":null,"leaves_ms":null,)"));
+    BOOST_TEST(!unknown.reclaimable);
+    BOOST_TEST(!unknown.time_left.has_value());
+    auto const reclaimed =
+        value_of(read_with(R"("spotEnabled":true,"leaves_ms":8500.5,)"));
+    BOOST_TEST(reclaimed.reclaimable);
+    BOOST_TEST(reclaimed.time_left.value().count() == 8500);
+    BOOST_TEST(value_of(read_with(R"("leaves_ms":-1,)")).time_left->count() ==
+               0);
+    BOOST_TEST(value_of(read_with(R"("leaves_ms":1e300,)")).time_left->count() >
+               0);
+    BOOST_TEST(error_of(read_with(R"("spotEnabled":1,)")).field ==
+               "spotEnabled");
+    BOOST_TEST(error_of(read_with(R"("leaves_ms":"soon",)")).field ==
+               "leaves_ms");
+}
+
 // An entry of another writer was taken for a server to use.
 BOOST_AUTO_TEST_CASE(an_odd_entry_names_a_server_to_use)
 {
