Order backend servers while holding the duties

Cause: the gateway knew the load and the servers, but nothing used them to order servers. Change: scaling_observer samples the demand of each service and its servers by data centre, kind and state; the gateway passes a sample to the duty every 300 ms while it is the holder, logs each changed order with its inputs, and sets gauges. Ruled out: sampling at every daemon, so that a new holder has a history at once: it costs all daemons what only one needs, and a new holder lets nothing go before its window is full anyway. Conclusion: off unless the settings name the duty and a service has limits.

--- a/src/libgateway/include/medlarstall/gateway/gateway.hpp
+++ b/src/libgateway/include/medlarstall/gateway/gateway.hpp
@@ -4,6 +4,7 @@
 #include <medlarstall/dispatch/dispatcher.hpp>
 #include <medlarstall/dispatch/heard_daemons.hpp>
 #include <medlarstall/dispatch/server_processes.hpp>
+#include <medlarstall/duty/autoscaling_duty.hpp>
 #include <medlarstall/duty/usage_reporter.hpp>
 #include <medlarstall/gateway/connection_pool.hpp>
 #include <medlarstall/gateway/duty_client.hpp>
@@ -18,6 +19,7 @@
 #include <medlarstall/gateway/peer_link.hpp>
 #include <medlarstall/gateway/process_queries.hpp>
 #include <medlarstall/gateway/record_follower.hpp>
+#include <medlarstall/gateway/scaling_observer.hpp>
 #include <medlarstall/gateway/shared_read.hpp>
 #include <medlarstall/gateway/structured_log.hpp>
 #include <medlarstall/gateway/topic_age.hpp>
@@ -346,6 +348,12 @@
                                  std::string_view bytes, time_point now);
     void tell_all_usage(time_point now);
     void update_usage_gauges();
+    void update_scaling(time_point now);
+    bool hears_load_of_peers(time_point now) const;
+    void log_scaling_changes();
+    void set_scaling_gauge(char const* name, std::string const& service,
+                           double value);
+    void set_scaling_gauges();
     void advance_stop(time_point now);
     void update_gauges();
 
@@ -418,6 +426,10 @@
     std::shared_ptr<record_follower> configuration_follower_;
     std::shared_ptr<record_follower> servers_follower_;
     std::shared_ptr<record_follower> members_follower_;
+    /// Idle unless the settings name it and this daemon is the holder.
+    duty::autoscaling_duty scaling_duty_;
+    scaling_observer scaling_observer_{dispatcher_};
+    time_point next_scaling_at_;
     /// Empty if the settings name no duty.
     std::shared_ptr<duty_service> duty_service_;
     asio::steady_timer tick_timer_;
--- a/src/libgateway/src/gateway_duties.cpp
+++ b/src/libgateway/src/gateway_duties.cpp
@@ -22,8 +22,12 @@
         [this] { send_peer_update(monotonic_clock::now(), true); },
         log_,
         metrics_};
-    return std::make_shared<duty_service>(std::move(context), *settings_.duties,
-                                          settings_.name, incarnation_);
+    auto service = std::make_shared<duty_service>(
+        std::move(context), *settings_.duties, settings_.name, incarnation_);
+    if (settings_.duties->scales) {
+        service->add(make_duty_handle("autoscaling", scaling_duty_));
+    }
+    return service;
 }
 
 void gateway::update_duties(time_point now)
@@ -31,6 +35,7 @@
     if (!duty_service_) {
         return;
     }
+    update_scaling(now);
     auto const own = hash64(settings_.name);
     auto const live = members_.live_members(now);
     auto const before = std::count_if(
@@ -51,6 +56,7 @@
     metrics_.set_gauge("duty_holder", duty_service_->is_active() ? 1 : 0);
     metrics_.set_gauge("duty_token", static_cast<double>(lease.token));
     metrics_.set_gauge("lease_renewal_age_seconds", seconds{lease.age}.count());
+    set_scaling_gauges();
 }
 
 } // namespace medlarstall::gateway
