Let the number of servers follow the load that lasts

The log shows one sample of 62.9 full servers 0.4 s after the traffic began, as all prompt caches were empty and what waited was judged by the shortest objective of any route. It stayed the peak for 20 s; the need rose to 178 and no server went. Change: the demand is a moving average over 1.5 s; what waits to be read is judged by the objective of the long prompts; a third of the regular servers is exchanged at once, each 2 s. At least the fewest servers that the platform allows stay regular in each data centre, so that a reclaim cannot go below them (found by orders_stay_within_the_limits with the larger steps).

--- a/src/libduty/include/medlarstall/duty/autoscaling_policy.hpp
+++ b/src/libduty/include/medlarstall/duty/autoscaling_policy.hpp
@@ -35,6 +35,10 @@
     double price_limit = 0.43;
     /// Fewest servers, whatever the load. Requests that find none add no load.
     double min_total = 2;
+    /// Time constant of the moving average of the demand. Shorter peaks, such
+    /// as the empty prompt caches of a start, are over before a server that is
+    /// ordered for them serves.
+    std::chrono::milliseconds smoothing{1500};
     /// Longer than a wave of the load and the bursts that follow each other
     /// closely (11 s and 9 s were observed).
     std::chrono::milliseconds window{20000};
@@ -47,8 +51,8 @@
     std::chrono::milliseconds reduction_hold{8000}; ///< After any change.
     /// Regular servers that are replaced by reclaimable ones at once, as a
     /// share. Their prompt caches are lost.
-    double exchange_step = 1.0 / 6;
-    std::chrono::milliseconds exchange_hold{2500}; ///< After any change.
+    double exchange_step = 1.0 / 3;
+    std::chrono::milliseconds exchange_hold{2000}; ///< After any change.
     /// Share of failing servers above which the number does not fall.
     double failing_share = 0.05;
     /// Time for which it does not fall after that.
@@ -162,6 +166,8 @@
 
     autoscaling_settings settings_;
     load_history history_;
+    double smoothed_demand_ = 0;
+    time_point smoothed_at_ = time_point::min(); ///< Of the last sample.
     /// Number of servers at the first decision. It is kept until the history
     /// shows how many are needed.
     std::optional<std::uint32_t> first_total_;
--- a/src/libduty/include/medlarstall/duty/scaling_sample.hpp
+++ b/src/libduty/include/medlarstall/duty/scaling_sample.hpp
@@ -21,7 +21,7 @@
     double slots = 1;          ///< Of one backend server, on average.
     double memory_capacity_tokens = 0; ///< Of one; 0 if unknown.
     double prefill_tokens_per_ms = 0;  ///< Of one; 0 without a model.
-    /// Shortest latency objective of the routes to the service; 0 if unknown.
+    /// Longest latency objective of the routes to the service; 0 if unknown.
     std::chrono::milliseconds objective{0};
 };
 
--- a/src/libduty/src/autoscaling_policy.cpp
+++ b/src/libduty/src/autoscaling_policy.cpp
@@ -91,7 +91,10 @@
             auto const surplus =
                 static_cast<double>(here.*kind) - static_cast<double>(wanted);
             auto const weight = surplus * (price + 1);
-            if (surplus > 0 && here.sum() > scaling.min_servers &&
+            // A reclaim must leave the least number that the platform allows.
+            auto const left =
+                kind == &kind_numbers::regular ? here.regular : here.sum();
+            if (surplus > 0 && left > scaling.min_servers &&
                 weight > best.first) {
                 best = {weight, &data_centre};
             }
@@ -137,7 +140,15 @@
 void autoscaling_policy::add_demand(double demand, bool is_known,
                                     time_point now)
 {
-    history_.add(is_known ? demand : std::max(demand, history_.mean()), now);
+    auto const assumed = is_known ? demand : std::max(demand, history_.mean());
+    using seconds = std::chrono::duration<double>;
+    auto const weight = smoothed_at_ == time_point::min()
+                            ? 1.0
+                            : 1.0 - std::exp(-(seconds{now - smoothed_at_} /
+                                               seconds{settings_.smoothing}));
+    smoothed_demand_ += weight * (assumed - smoothed_demand_);
+    smoothed_at_ = now;
+    history_.add(smoothed_demand_, now);
 }
 
 scaling_decision autoscaling_policy::decide(routes::autoscaling const& scaling,
--- a/src/libduty/src/scale_orders.cpp
+++ b/src/libduty/src/scale_orders.cpp
@@ -1,5 +1,7 @@
 #include <medlarstall/duty/scale_orders.hpp>
 
+#include <medlarstall/support/json_text.hpp>
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -77,10 +79,11 @@
     first_prices_.clear();
     under_way_ = 0;
     stored_revision_ = revision_;
-    auto const value = json::from_cbor(stored, true, false);
-    if (!value.is_object()) {
+    auto const parsed = parse_cbor(stored);
+    if (failed(parsed) || !value_of(parsed).is_object()) {
         return;
     }
+    auto const& value = value_of(parsed);
     auto const prices = value.find("first_prices");
     if (prices != value.end() && prices->is_object()) {
         for (auto const& [service, price] : prices->items()) {
--- a/src/libgateway/src/scaling_observer.cpp
+++ b/src/libgateway/src/scaling_observer.cpp
@@ -7,25 +7,24 @@
 
 namespace {
 
-/// \return shortest latency objective of the routes to a service; zero if it
-///     has none
+/// \return longest latency objective of the routes to a service, which is that
+///     of the long prompts that make up most of what waits to be read; zero if
+///     it has none
 std::chrono::milliseconds
 objective_of(std::string const& service,
              routes::configuration const& configuration)
 {
-    std::chrono::milliseconds shortest{0};
+    std::chrono::milliseconds longest{0};
     for (auto const& route : configuration.routes) {
         auto const leads_there =
             std::ranges::any_of(route.services, [&](auto const& share) {
                 return share.service == service;
             });
         if (leads_there) {
-            shortest = shortest == shortest.zero()
-                           ? route.objective
-                           : std::min(shortest, route.objective);
+            longest = std::max(longest, route.objective);
         }
     }
-    return shortest;
+    return longest;
 }
 
 /// Sum of the load of several backend servers, and their number.
