--- a/src/libduty/src/autoscaling_policy.cpp
+++ b/src/libduty/src/autoscaling_policy.cpp
@@ -92,9 +92,9 @@
                 static_cast<double>(here.*kind) - static_cast<double>(wanted);
             auto const weight = surplus * (price + 1);
             // A reclaim must leave the least number that the platform allows.
-            auto const left =
+            auto const staying =
                 kind == &kind_numbers::regular ? here.regular : here.sum();
-            if (surplus > 0 && left > scaling.min_servers &&
+            if (surplus > 0 && staying > scaling.min_servers &&
                 weight > best.first) {
                 best = {weight, &data_centre};
             }
