--- a/tests/libgateway/crashed_servers_test.cpp
+++ b/tests/libgateway/crashed_servers_test.cpp
@@ -59,6 +59,7 @@
     std::size_t succeeded_together(std::size_t gateway, std::size_t count)
     {
         std::vector<std::shared_ptr<caller_answer>> answers;
+        answers.reserve(count);
         for (std::size_t sent = 0; sent < count; ++sent) {
             answers.push_back(send(gateway, "POST", "/once/a",
                                    "t" + std::to_string(gateway) + "-" +
