--- a/src/libdispatch/src/server_paths.cpp
+++ b/src/libdispatch/src/server_paths.cpp
@@ -18,13 +18,13 @@
 {
     auto& known = services_[std::string{service}];
     auto& failures = known.failures;
+    std::erase_if(failures, [&](auto const& item) {
+        return now - item.second > settings_.failure_lifetime;
+    });
     if (failures.empty()) {
         known.failing_since = now;
     }
     failures.insert_or_assign(std::string{server}, now);
-    std::erase_if(failures, [&](auto const& item) {
-        return now - item.second > settings_.failure_lifetime;
-    });
 }
 
 std::size_t server_paths::recent_failures(service_paths const& service,
--- a/src/libduty/include/medlarstall/duty/lease_notice.hpp
+++ b/src/libduty/include/medlarstall/duty/lease_notice.hpp
@@ -8,8 +8,8 @@
 
 namespace medlarstall::duty {
 
-/// What a daemon tells its peers of the lease: as the holder, or from hearsay.
-/// It only spares the peers reads of the store.
+/// What a daemon tells its peers of the lease: as the holder, or as told by
+/// others. It only spares the peers reads of the store.
 struct lease_notice
 {
     fencing_token token = 0;
--- a/src/libduty/src/autoscaling_duty.cpp
+++ b/src/libduty/src/autoscaling_duty.cpp
@@ -14,7 +14,7 @@
 constexpr milliseconds observation_time{3000};
 /// Older knowledge of the list is not taken for the present state.
 constexpr milliseconds max_list_age{3000};
-/// A reclaim lasts for 9 to 11 s, as observed.
+/// Longer than servers of a data centre stay reclaimed, some 10 s.
 constexpr milliseconds reclaim_block{12000};
 
 /// \return whether the platform takes back servers that were not ordered away
--- a/src/libduty/src/autoscaling_policy.cpp
+++ b/src/libduty/src/autoscaling_policy.cpp
@@ -202,7 +202,10 @@
                                      routes::autoscaling const& scaling,
                                      std::optional<double> first_price) const
 {
-    auto const fewest = peak / settings_.limited_fill;
+    // Without load the need never costs less than the least number of servers,
+    // which may be above the limit.
+    auto const fewest =
+        std::max(peak / settings_.limited_fill, settings_.min_total);
     if (!first_price || need.total <= fewest) {
         return;
     }
--- a/src/libduty/src/true_time.cpp
+++ b/src/libduty/src/true_time.cpp
@@ -9,14 +9,14 @@
 
 using std::chrono::milliseconds;
 
-/// From this number of clocks on, the median outvotes the share of clocks that
-/// was observed to jump together (28%).
+/// From this number of clocks on, the median outvotes a third of the clocks
+/// that jump together.
 constexpr std::size_t min_clocks_to_outvote = 5;
 /// A change of an offset by more than this is a jump of the clock. Delays of
 /// updates stay below it.
 constexpr milliseconds min_jump{300};
-/// A jump that persists for this long is a correction of the clock. Observed
-/// jumps were undone after 6 to 8 s.
+/// A jump that persists for this long is a correction of the clock; clocks that
+/// are wrong jump back within seconds.
 constexpr std::chrono::seconds max_jump_time{60};
 /// A daemon that is silent for longer no longer votes: its clock may have been
 /// corrected since.
--- a/src/libduty/src/usage_duty.cpp
+++ b/src/libduty/src/usage_duty.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 /// Most reports in flight at a time, so that the end of an outage of the
-/// platform brings no flood of calls.
+/// platform does not cause many calls at once.
 constexpr std::size_t max_in_flight = 4;
 /// Most windows whose rows are stored. There are more than two only after an
 /// outage of the store.
--- a/src/libgateway/include/medlarstall/gateway/gateway.hpp
+++ b/src/libgateway/include/medlarstall/gateway/gateway.hpp
@@ -303,6 +303,7 @@
     void read_outdated_topics(time_point now);
     void send_peer_update(time_point now, bool urgent = false);
     peer_update make_peer_update();
+    void add_single_notes(peer_update& update, time_point now);
     std::vector<dispatch::crash_report> crashes_to_announce(time_point now);
     void log_blame_changes(std::string const& told_by);
     void on_peer_update(std::string const& from, std::string_view bytes);
--- a/src/libgateway/src/duty_service.cpp
+++ b/src/libgateway/src/duty_service.cpp
@@ -18,8 +18,8 @@
 constexpr milliseconds min_backoff{200};
 constexpr milliseconds max_backoff{2000};
 /// A holder whose calls are not answered for this long hands the duties to a
-/// daemon that may reach the platform. An outage of the platform of 4.5 s was
-/// observed; reports are due 10 s after the end of their window.
+/// daemon that may reach the platform. Longer waits would make reports late,
+/// which are due 10 s after the end of their window.
 constexpr milliseconds max_unanswered_time{4000};
 constexpr std::size_t min_unanswered = 3;
 /// Time for which it then does not take the lease.
--- a/src/libgateway/src/gateway_peers.cpp
+++ b/src/libgateway/src/gateway_peers.cpp
@@ -94,12 +94,17 @@
     update.releases = origins_.mixed_releases(monotonic_clock::now());
     update.unidentified_streams = streams_to_announce(monotonic_clock::now());
     update.open_streams = unidentified_streams();
+    update.entry_capacity = capacity_.requests_per_second();
+    return update;
+}
+
+/// Adds what is told once, and so must go to all peers.
+void gateway::add_single_notes(peer_update& update, time_point now)
+{
     if (duty_service_) {
         update.lease = duty_service_->take_notice();
     }
-    update.entry_capacity = capacity_.requests_per_second();
     add_usage(update, std::exchange(tell_all_usage_, false), now);
-    return update;
 }
 
 void gateway::send_peer_update(time_point now, bool urgent)
@@ -126,8 +131,10 @@
     // any daemon may use a backend server of another cell if it has no other.
     auto const to_all = !recent_crashes_.empty() || rate_limit_changed_ ||
                         !unidentified_.empty();
+    auto update = make_peer_update();
+    add_single_notes(update, now);
     peer_link_.send(to_all ? members_.addresses() : cell_peer_addresses_,
-                    encode(make_peer_update()));
+                    encode(update));
     rate_limit_changed_ = false;
     crash_to_announce_ = false;
     report_to_announce_ = false;
--- a/src/libgateway/src/peer_update.cpp
+++ b/src/libgateway/src/peer_update.cpp
@@ -322,8 +322,9 @@
 /// \return the capacity, or 0 if it is missing or no positive number
 double capacity_from_json(json const& value)
 {
+    constexpr double max_capacity = 1e6; // Far beyond any instance.
     auto const capacity = value.is_number() ? value.get<double>() : 0.0;
-    return std::isfinite(capacity) && capacity > 0 ? capacity : 0.0;
+    return capacity > 0 ? std::min(capacity, max_capacity) : 0.0;
 }
 
 peer_update update_from_json(json const& value)
--- a/src/libhttp/src/server_connection.cpp
+++ b/src/libhttp/src/server_connection.cpp
@@ -222,7 +222,8 @@
         return;
     }
     last_activity_ = monotonic_clock::now();
-    newest_bytes_at_ = last_activity_ - channel_->newest_bytes_age();
+    newest_bytes_at_ = std::max<time_point>(
+        last_activity_ - channel_->newest_bytes_age(), reading_since_);
     if (state_ == state::reading && !parser_.started()) {
         head_started_ = last_activity_;
         progress_.restart(channel_->moved_bytes(), last_activity_);
@@ -311,7 +312,7 @@
         return;
     }
     state_ = state::reading;
-    head_started_ = last_activity_;
+    head_started_ = reading_since_ = newest_bytes_at_ = last_activity_;
     parser_.reset(parser_limits_of(limits_));
     progress_.restart(channel_->moved_bytes(), last_activity_);
     channel_->resume();
@@ -461,7 +462,7 @@
     }
     waiting_since_.reset();
     may_grow_ = true;
-    last_activity_ = now;
+    last_activity_ = reading_since_ = now;
     progress_.restart(channel_->moved_bytes(), now);
     update_memory();
     channel_->resume();
--- a/tests/libduty/autoscaling_test.cpp
+++ b/tests/libduty/autoscaling_test.cpp
@@ -54,6 +54,28 @@
     BOOST_TEST(run.calls() <= 10U);
 }
 
+// The cheapest placement of an idle service costs more than the limit, so that
+// the decision looked for a cheaper one without end.
+BOOST_AUTO_TEST_CASE(idle_service_that_costs_more_than_the_limit_is_decided)
+{
+    routes::autoscaling scaling;
+    scaling.min_servers = 1;
+    scaling.max_servers = 10;
+    scaling.prices = {{"a", 1.0}};
+    scaling_input input;
+    input.data_centres["a"].regular = {2, 2, 2, false};
+    input.first_price = 2.0;
+    input.staying = 2;
+    input.is_current = true;
+    autoscaling_policy policy;
+    auto now = time_point{} + 1h;
+    for (int sample = 0; sample < 100; ++sample, now += 300ms) {
+        policy.add_demand(0, true, now);
+        auto const decision = policy.decide(scaling, input, now);
+        BOOST_REQUIRE(total_of(decision.wanted) >= 1U);
+    }
+}
+
 // Guards against a cost above half because the limits leave no room to start
 // the servers that replace others.
 BOOST_AUTO_TEST_CASE(heavy_load_costs_less_than_half_too)
--- a/tests/libhttp/connection_memory_test.cpp
+++ b/tests/libhttp/connection_memory_test.cpp
@@ -9,6 +9,7 @@
 
 #include <memory>
 #include <string>
+#include <thread>
 #include <tuple>
 #include <vector>
 
@@ -123,6 +124,25 @@
 
 BOOST_AUTO_TEST_SUITE(connection_memory_suite)
 
+// A pipelined request counted as read late if the answer before it took longer
+// than its caller waits for a request to be read.
+BOOST_AUTO_TEST_CASE(pipelined_request_arrives_when_the_answer_before_it_ends)
+{
+    listener_model world;
+    world.connect();
+    world.poll();
+    std::string const request = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
+    world.send(0, request + request);
+    world.poll();
+    BOOST_REQUIRE_EQUAL(world.exchanges.size(), 1U);
+    std::this_thread::sleep_for(std::chrono::milliseconds{20});
+    auto const answered_at = monotonic_clock::now();
+    world.exchanges[0]->respond({{200, {}, {}}, "x"});
+    world.poll();
+    BOOST_REQUIRE_EQUAL(world.exchanges.size(), 2U);
+    BOOST_TEST((world.exchanges[1]->arrived_at() >= answered_at));
+}
+
 RC_BOOST_PROP(memory_is_counted_twice_or_forgotten, ())
 {
     listener_model world;
