Keep Asio's allocator the same in all files

Change: aligned allocation is off in all files. Ruled out: moving the test to another program, which hides it.

--- a/cmake/MedlarstallPackage.cmake
+++ b/cmake/MedlarstallPackage.cmake
@@ -18,6 +18,9 @@
     -Wall -Wextra -Wpedantic -Werror -Wno-missing-field-initializers)
 target_compile_definitions(medlarstall_options INTERFACE
     BOOST_LOG_DYN_LINK BOOST_ALL_NO_LIB ASIO_STANDALONE
+    # Whether Asio sees aligned allocation depends on the headers before it, so
+    # that memory of one file would be released in another way by the next.
+    ASIO_DISABLE_STD_ALIGNED_ALLOC
     MEDLARSTALL_VERSION="${PROJECT_VERSION}")
 if(MEDLARSTALL_SANITIZE)
     list(JOIN MEDLARSTALL_SANITIZE "," sanitizers)
