--- a/src/libgateway/src/entry_capacity.cpp
+++ b/src/libgateway/src/entry_capacity.cpp
@@ -115,12 +115,14 @@
                                   keyed.begin() + static_cast<long>(count));
         keyed.resize(count);
         std::vector<std::string> selected;
+        selected.reserve(keyed.size());
         for (auto& [key, address] : keyed) {
             selected.push_back(std::move(address));
         }
         return selected;
     }
     std::vector<std::string> all;
+    all.reserve(candidates.size());
     for (auto& item : candidates) {
         all.push_back(std::move(item.address));
     }
--- a/tests/libgateway/entry_capacity_test.cpp
+++ b/tests/libgateway/entry_capacity_test.cpp
@@ -17,6 +17,7 @@
                                              std::size_t count, double capacity)
 {
     std::vector<entry_candidate> made;
+    made.reserve(count);
     for (std::size_t index = 0; index < count; ++index) {
         made.push_back({prefix + std::to_string(index), capacity});
     }
--- a/tests/libgateway/reader_role_test.cpp
+++ b/tests/libgateway/reader_role_test.cpp
@@ -28,6 +28,7 @@
 std::vector<reader_candidate> make_daemons(std::size_t count, bool ready)
 {
     std::vector<reader_candidate> daemons;
+    daemons.reserve(count);
     for (std::size_t rank = 0; rank < count; ++rank) {
         daemons.push_back({rank, ready, false});
     }
