--- a/src/libduty/include/medlarstall/duty/autoscaling_policy.hpp
+++ b/src/libduty/include/medlarstall/duty/autoscaling_policy.hpp
@@ -40,7 +40,7 @@
     /// ordered for them serves.
     std::chrono::milliseconds smoothing{1500};
     /// Longer than a wave of the load and the bursts that follow each other
-    /// closely (11 s and 9 s were observed).
+    /// closely (some 10 s each).
     std::chrono::milliseconds window{20000};
     /// The number rises only if this share of the need is missing, and then to
     /// this much above it, so that noise causes no orders.
--- a/src/libduty/include/medlarstall/duty/scale_orders.hpp
+++ b/src/libduty/include/medlarstall/duty/scale_orders.hpp
@@ -33,7 +33,7 @@
     std::chrono::milliseconds first_retry{1000};
     std::chrono::milliseconds longest_retry{8000};
     /// Time after a refusal until more servers are ordered again; doubles each
-    /// time. A reclaim lasts for 9 to 11 s, as observed.
+    /// time. A reclaim lasts for some 10 s.
     std::chrono::milliseconds first_block{6000};
     std::chrono::milliseconds longest_block{60000};
     std::size_t max_calls = 4; ///< Under way at the same time.
