Ask the kernel for the age of a request once, not for each read

Each read of a caller's connection made a getsockopt call for the time of its newest bytes, also for every part of a large body, though the time is used only when a request is complete. Change: the call is made when the request is handed on; the member that kept the value is gone. Behaviour stays. Run: libhttp, and the suites of departed callers, requests, streams and faulty servers of libgateway; the file is clean in lint. No cost measured.

--- a/src/libhttp/include/medlarstall/http/server_connection.hpp
+++ b/src/libhttp/include/medlarstall/http/server_connection.hpp
@@ -280,12 +280,10 @@
     bool close_announced_ = false; ///< By the current response.
     bool peer_closed_ = false;
     time_point last_activity_;
-    /// When the kernel received the newest bytes, or this connection began to
-    /// read on after a pause, if that is later: a pause is not the delay of a
-    /// request that the caller has sent meanwhile.
-    time_point newest_bytes_at_;
-    time_point reading_since_; ///< End of the last pause.
-    time_point head_started_;  ///< When the request began.
+    /// End of the last pause of reading, which is not the delay of a request
+    /// that the caller has sent meanwhile.
+    time_point reading_since_;
+    time_point head_started_; ///< When the request began.
 };
 
 } // namespace medlarstall::http
--- a/src/libhttp/src/server_connection.cpp
+++ b/src/libhttp/src/server_connection.cpp
@@ -222,8 +222,6 @@
         return;
     }
     last_activity_ = monotonic_clock::now();
-    newest_bytes_at_ = std::max<time_point>(
-        last_activity_ - channel_->newest_bytes_age(), reading_since_);
     if (state_ == state::reading && !parser_.started()) {
         head_started_ = last_activity_;
         progress_.restart(channel_->moved_bytes(), last_activity_);
@@ -294,9 +292,11 @@
     close_after_response_ = close_after_response_ || !parser_.keeps_alive();
     auto body = parser_.take_body();
     auto head = std::exchange(parser_.request(), {});
-    events_.request(std::make_unique<exchange>(
-        shared_from_this(), std::move(head), std::move(body), last_activity_,
-        newest_bytes_at_));
+    auto const arrived_at = std::max<time_point>(
+        last_activity_ - channel_->newest_bytes_age(), reading_since_);
+    events_.request(std::make_unique<exchange>(shared_from_this(),
+                                               std::move(head), std::move(body),
+                                               last_activity_, arrived_at));
 }
 
 void server_connection::on_response_finished()
@@ -312,7 +312,7 @@
         return;
     }
     state_ = state::reading;
-    head_started_ = reading_since_ = newest_bytes_at_ = last_activity_;
+    head_started_ = reading_since_ = last_activity_;
     parser_.reset(parser_limits_of(limits_));
     progress_.restart(channel_->moved_bytes(), last_activity_);
     channel_->resume();
