Hold no more of further requests than may be read ahead of an answer

What callers saw: 60 clients that each send valid requests without waiting for the answers took a gateway to 48 MB where the machine has 32; at the addresses that answer by themselves (metrics, readiness, directory, peers) 60 clients that do not read took it to 292 to 299 MB, and an ordinary request got 503. Cause: reading was resumed by each answer, whatever was still unparsed; the next request was looked at while the answer before it was unsent; nobody might close what had been read ahead, as its connection awaits an answer. All requests of one read were answered in one turn of the event loop. Ruled out: a shorter bound alone, as an answer would still let a read in. Change: the connection is asked before each read how much it can take now, so that reading is resumed by room and by nothing else. A state `sending` lies between an answer and the next request. While memory is scarce, 2 KB are read ahead, and what was read ahead is a holder of its own that is dropped first; the connection then ends after the answer that is due. One request is begun a turn. While reading is paused, the kernel is asked whether the client has left. A last answer is no longer cut off after 2 s at a client that reads slowly.

--- a/src/libhttp/include/medlarstall/http/byte_channel.hpp
+++ b/src/libhttp/include/medlarstall/http/byte_channel.hpp
@@ -24,6 +24,9 @@
     std::function<void(std::error_code)> closed;
     /// The kernel has accepted bytes that had to wait for it.
     std::function<void()> sent;
+    /// Asked before each read for the number of bytes that the owner can take
+    /// now; reading pauses if it is 0. Without it, as much is read as arrives.
+    std::function<std::size_t()> read_limit;
 };
 
 /// A TCP connection with asynchronous reads and buffered, non-blocking writes.
@@ -97,6 +100,13 @@
     /// Reads again after pause().
     void resume();
 
+    /// \return true while reading is paused
+    [[nodiscard]] bool paused() const { return paused_; }
+
+    /// \return size in bytes that was set for the kernel's receive buffer; 0 if
+    ///     none was
+    [[nodiscard]] std::size_t receive_buffer() const { return receive_buffer_; }
+
     /// Shuts down the sending side once the write buffer is empty.
     void shutdown_when_sent();
 
@@ -160,6 +170,7 @@
     std::shared_ptr<std::string const> body_; ///< Follows the write buffer.
     std::size_t body_offset_ = 0;             ///< Bytes of it already sent.
     std::uint64_t moved_bytes_ = 0;
+    std::size_t receive_buffer_ = 0;
     bool has_sent_ = false;
     bool paused_ = false;
     bool waiting_read_ = false;
--- a/src/libhttp/include/medlarstall/http/memory_pressure_policy.hpp
+++ b/src/libhttp/include/medlarstall/http/memory_pressure_policy.hpp
@@ -14,6 +14,7 @@
 {
     nothing_closable,   ///< Idle, or its request awaits an answer.
     unfinished_request, ///< The client has sent part of a request.
+    further_requests,   ///< Read ahead of the answer to the one before.
     unread_answer       ///< The client does not read its answer.
 };
 
--- a/src/libhttp/include/medlarstall/http/server_connection.hpp
+++ b/src/libhttp/include/medlarstall/http/server_connection.hpp
@@ -92,8 +92,8 @@
     /// \param now current time
     void resume_request(time_point now);
 
-    /// Frees the memory: refuses an unfinished request, and breaks off an
-    /// answer that is not read.
+    /// Frees the memory: refuses an unfinished request, drops further requests
+    /// that were read ahead, or breaks off an answer that is not read.
     void release_memory();
 
     /// Closes the connection at once, after a refusal if a request has begun.
@@ -102,8 +102,17 @@
     /// \return true once the connection is closed
     [[nodiscard]] bool closed() const { return state_ == state::closed; }
 
+    /// \return true until the response to a request was sent completely
+    [[nodiscard]] bool busy() const
+    {
+        return state_ == state::responding || state_ == state::sending;
+    }
+
     /// \return true while a request awaits the end of its response
-    [[nodiscard]] bool busy() const { return state_ == state::responding; }
+    [[nodiscard]] bool awaits_response() const
+    {
+        return state_ == state::responding;
+    }
 
     /// \return true while reading is paused for lack of memory
     [[nodiscard]] bool waits_for_memory() const
@@ -117,7 +126,8 @@
     /// \return true between requests, when no byte of the next was read
     [[nodiscard]] bool idle() const
     {
-        return state_ == state::reading && !parser_.started();
+        return state_ == state::reading && !parser_.started() &&
+               unparsed_.empty();
     }
 
 private:
@@ -127,14 +137,22 @@
     {
         reading,
         responding,
+        sending,   ///< The response is complete, but not all of it is sent.
         lingering, ///< The last response is sent; waits for the peer to close.
         closed
     };
 
     void on_bytes(std::string_view bytes);
     void on_closed(std::error_code reason);
-    void read_messages();
+    void read_further_requests();
+    void read_further_requests_later();
     std::string_view read_part(std::string_view bytes);
+    void keep_unparsed(std::string_view bytes);
+    void drop_unparsed();
+    void drop_further_requests();
+    [[nodiscard]] std::size_t read_limit();
+    [[nodiscard]] std::size_t max_read_ahead() const;
+    void update_reading();
     void reject_request();
     void refuse(int status);
     void break_off();
@@ -143,6 +161,7 @@
     void on_sent();
     void dispatch_request();
     void on_response_finished();
+    void on_response_sent();
     void linger();
     void close_now();
     /// \return true if the response to be sent must announce the close
@@ -154,6 +173,7 @@
     server_events const& events_;
     message_parser parser_;
     std::string unparsed_; ///< Received bytes after the current request.
+    std::size_t parsed_bytes_ = 0; ///< At the start of unparsed_.
     std::function<void()> caller_disconnected_handler_;
     std::function<void()> sent_handler_;
     std::function<void()> const& check_memory_;
@@ -166,6 +186,8 @@
     state state_ = state::reading;
     bool close_after_response_ = false;
     bool close_announced_ = false; ///< By the current response.
+    bool further_dropped_ = false; ///< Further requests are not read any more.
+    bool further_posted_ = false;  ///< read_further_requests() will be called.
     bool peer_closed_ = false;
     time_point last_activity_;
     /// End of the last pause of reading, which is not the delay of a request
--- a/src/libhttp/src/byte_channel.cpp
+++ b/src/libhttp/src/byte_channel.cpp
@@ -149,7 +149,13 @@
         return;
     }
     auto& buffer = shared_read_buffer();
-    auto const count = socket_.read_some(asio::buffer(buffer), failure);
+    auto const limit =
+        events_.read_limit ? events_.read_limit() : read_buffer_bytes;
+    if (limit == 0) {
+        paused_ = true;
+        return;
+    }
+    auto const count = socket_.read_some(asio::buffer(buffer, limit), failure);
     if (failure == asio::error::would_block) {
         wait_readable();
         return;
@@ -272,6 +278,7 @@
 
 void byte_channel::set_receive_buffer(std::size_t bytes)
 {
+    receive_buffer_ = bytes;
     set_option(socket_.native_handle(), SOL_SOCKET, SO_RCVBUF,
                static_cast<int>(bytes));
 }
--- a/src/libhttp/src/http_listener.cpp
+++ b/src/libhttp/src/http_listener.cpp
@@ -141,8 +141,9 @@
     }
     std::shared_ptr<server_connection> oldest;
     for (auto const& connection : connections_) {
-        if (!connection->busy() && (!oldest || connection->last_activity() <
-                                                   oldest->last_activity())) {
+        if (!connection->awaits_response() &&
+            (!oldest ||
+             connection->last_activity() < oldest->last_activity())) {
             oldest = connection;
         }
     }
--- a/src/libhttp/src/memory_pressure_policy.cpp
+++ b/src/libhttp/src/memory_pressure_policy.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <limits>
 #include <utility>
 
 namespace medlarstall::http {
@@ -12,14 +13,25 @@
 /// so that the next bytes do not cause another decision at once.
 constexpr std::size_t spare_divisor = 8;
 
-/// \return bytes times milliseconds, by which holders are closed
-double weight_of(memory_holder const& holder)
+/// \return bytes times milliseconds, by which holders are closed. What was read
+///     ahead goes first, as its client loses least.
+double closing_weight_of(memory_holder const& holder)
 {
+    if (holder.kind == holder_kind::further_requests) {
+        return std::numeric_limits<double>::infinity();
+    }
     std::chrono::duration<double, std::milli> const idle =
         holder.without_progress;
     return static_cast<double>(holder.bytes) * (idle.count() + 1);
 }
 
+bool is_small(memory_holder const& holder)
+{
+    return (holder.kind == holder_kind::unfinished_request ||
+            holder.kind == holder_kind::unread_answer) &&
+           holder.bytes < memory_pressure_policy::min_bytes;
+}
+
 /// State of one decision.
 class pressure_step
 {
@@ -32,7 +44,7 @@
         for (std::size_t index = 0; index < holders.size(); ++index) {
             auto const& holder = holders[index];
             if (holder.kind != holder_kind::nothing_closable &&
-                holder.bytes >= memory_pressure_policy::min_bytes) {
+                !is_small(holder)) {
                 closable_.push_back(index);
             }
             if (holder.waiting) {
@@ -42,9 +54,10 @@
                 grant(holder);
             }
         }
-        std::ranges::stable_sort(closable_, std::greater{}, [&](auto index) {
-            return weight_of(holders_[index]);
-        });
+        auto const weight = [&](auto index) {
+            return closing_weight_of(holders_[index]);
+        };
+        std::ranges::stable_sort(closable_, std::greater{}, weight);
         std::ranges::stable_sort(
             waiting_, {}, [&](auto index) { return holders_[index].began; });
     }
@@ -86,8 +99,10 @@
                 return;
             }
             auto const& holder = holders_[index];
-            if (!holder.waiting && holder.without_progress >=
-                                       memory_pressure_policy::stalled_after) {
+            auto const stalled = holder.without_progress >=
+                                 memory_pressure_policy::stalled_after;
+            if (holder.kind == holder_kind::further_requests ||
+                (!holder.waiting && stalled)) {
                 close(index);
             }
         }
@@ -166,6 +181,8 @@
         return "nothing_closable";
     case holder_kind::unfinished_request:
         return "unfinished_request";
+    case holder_kind::further_requests:
+        return "further_requests";
     case holder_kind::unread_answer:
         return "unread_answer";
     }
--- a/src/libhttp/src/server_connection.cpp
+++ b/src/libhttp/src/server_connection.cpp
@@ -15,14 +15,13 @@
 constexpr int header_fields_too_large = 431;
 constexpr int service_unavailable = 503;
 
-/// Reading pauses when a caller has sent more bytes of further requests than
-/// this while one awaits its response.
-constexpr std::size_t max_unparsed_bytes = 65536;
+/// Bytes that are read at once, and of further requests while one awaits its
+/// response.
+constexpr std::size_t max_read_bytes = 65536;
+/// The same while memory is scarce, except for a body that has begun.
+constexpr std::size_t scarce_read_bytes = 2048;
 /// A request that holds less is never paused for lack of memory.
 constexpr std::size_t min_paused_bytes = 65536;
-/// Held by the kernel for a connection that is not read from, about the size
-/// of the receive buffer that the listener sets.
-constexpr std::size_t paused_kernel_bytes = 131072;
 /// How long to wait for the peer to close after the last response.
 constexpr std::chrono::seconds linger_timeout{2};
 /// After this time without bytes, no request is likely to be in transit.
@@ -65,9 +64,10 @@
     channel_->start(
         {.received = [this](std::string_view bytes) { on_bytes(bytes); },
          .closed = [this](std::error_code reason) { on_closed(reason); },
-         .sent =
+         .sent = [this] { on_sent(); },
+         .read_limit =
              [this] {
-                 on_sent();
+                 return read_limit();
              }});
 }
 
@@ -88,25 +88,103 @@
         head_started_ = last_activity_;
         progress_.restart(channel_->moved_bytes(), last_activity_);
     }
-    if (unparsed_.empty()) { // Avoids a copy of what is parsed at once.
-        unparsed_ = read_part(bytes);
+    keep_unparsed(read_part(bytes));
+    update_memory();
+    pause_for_memory();
+    update_reading();
+}
+
+/// Reads the next request from what was read ahead.
+void server_connection::read_further_requests()
+{
+    auto const rest =
+        read_part(std::string_view{unparsed_}.substr(parsed_bytes_));
+    if (rest.empty()) {
+        drop_unparsed();
     } else {
-        unparsed_.append(bytes);
-        read_messages();
-    }
-    if (state_ == state::responding && unparsed_.size() > max_unparsed_bytes) {
-        channel_->pause();
+        parsed_bytes_ = unparsed_.size() - rest.size();
     }
     update_memory();
     pause_for_memory();
+    update_reading();
 }
 
-void server_connection::read_messages()
+/// Lets the event loop serve others before the next request, which may be one
+/// of many that were read at once, and does not handle it within the handler of
+/// the one before.
+void server_connection::read_further_requests_later()
 {
-    auto const rest = read_part(unparsed_);
-    unparsed_.erase(0, unparsed_.size() - rest.size());
-    if (unparsed_.empty()) {
-        unparsed_.shrink_to_fit();
+    if (std::exchange(further_posted_, true)) {
+        return;
+    }
+    asio::post(channel_->executor(), [self = shared_from_this()] {
+        self->further_posted_ = false;
+        self->read_further_requests();
+    });
+}
+
+void server_connection::keep_unparsed(std::string_view bytes)
+{
+    if (bytes.empty()) {
+        return;
+    }
+    unparsed_.erase(0, std::exchange(parsed_bytes_, 0));
+    unparsed_.append(bytes);
+}
+
+void server_connection::drop_unparsed()
+{
+    release_text(unparsed_);
+    parsed_bytes_ = 0;
+}
+
+/// Frees what was read ahead of the response that is due. The connection ends
+/// after that response, so that the client sends the others again.
+void server_connection::drop_further_requests()
+{
+    drop_unparsed();
+    further_dropped_ = close_after_response_ = true;
+    update_memory();
+    update_reading();
+}
+
+/// \return how many bytes may be read now
+std::size_t server_connection::read_limit()
+{
+    switch (state_) {
+    case state::reading:
+        pause_for_memory();
+        if (waiting_since_ || !unparsed_.empty()) {
+            return 0;
+        }
+        return parser_.has_head() ? max_read_bytes : max_read_ahead();
+    case state::responding:
+    case state::sending:
+        return max_read_ahead() - std::min(max_read_ahead(), unparsed_.size());
+    case state::lingering:
+        return max_read_bytes;
+    default:
+        return 0;
+    }
+}
+
+/// \return bytes that may be held before it is known what they belong to
+std::size_t server_connection::max_read_ahead() const
+{
+    if (further_dropped_) {
+        return 0;
+    }
+    return held_.account().under_pressure() ? scarce_read_bytes
+                                            : max_read_bytes;
+}
+
+/// Reads while there is room for what arrives, whatever has made or taken it.
+void server_connection::update_reading()
+{
+    if (read_limit() > 0) {
+        channel_->resume();
+    } else {
+        channel_->pause();
     }
     update_memory();
 }
@@ -121,6 +199,10 @@
             reject_request();
         } else if (parser_.complete()) {
             dispatch_request();
+            if (state_ == state::reading && !bytes.empty()) {
+                read_further_requests_later();
+            }
+            break;
         } else if (parser_.has_head() &&
                    parser_.request().headers.contains("expect")) {
             parser_.request().headers.remove("expect");
@@ -169,7 +251,19 @@
     if (state_ != state::responding) {
         return;
     }
-    if (close_announced_ || peer_closed_) {
+    state_ = state::sending;
+    if (channel_->unsent_bytes() == 0) {
+        on_response_sent();
+    } else {
+        update_reading();
+    }
+}
+
+/// Reads the next request only now, so that a client that does not read its
+/// answers is not given more of them.
+void server_connection::on_response_sent()
+{
+    if (close_announced_ || further_dropped_ || peer_closed_) {
         linger();
         return;
     }
@@ -177,13 +271,10 @@
     head_started_ = reading_since_ = last_activity_;
     parser_.reset(parser_limits_of(limits_));
     progress_.restart(channel_->moved_bytes(), last_activity_);
-    channel_->resume();
     if (!unparsed_.empty()) {
-        // Posted, so that the next request is not handled within the handler
-        // of this one.
-        asio::post(channel_->executor(),
-                   [self = shared_from_this()] { self->read_messages(); });
+        read_further_requests_later();
     }
+    update_reading();
 }
 
 void server_connection::linger()
@@ -199,28 +290,30 @@
     }
     state_ = state::lingering;
     last_activity_ = monotonic_clock::now();
-    release_text(unparsed_);
+    drop_unparsed();
     parser_.release();
     waiting_since_.reset();
-    update_memory();
     channel_->shutdown_when_sent();
-    channel_->resume();
+    update_reading();
 }
 
 void server_connection::close_now()
 {
     state_ = state::closed;
-    release_text(unparsed_);
+    drop_unparsed();
     parser_.release();
     waiting_since_.reset();
     channel_->close();
     update_memory();
 }
 
-void server_connection::on_closed(std::error_code)
+void server_connection::on_closed(std::error_code reason)
 {
     auto const self = shared_from_this();
     peer_closed_ = true;
+    if (state_ == state::sending && !reason) {
+        return; // It may read on what is left of its answer.
+    }
     if (state_ != state::responding) {
         close_now();
         return;
@@ -233,9 +326,19 @@
 
 void server_connection::check_timeouts(time_point now)
 {
+    auto const self = shared_from_this();
     if (state_ == state::lingering && now - last_activity_ > linger_timeout) {
         close_now();
     }
+    // While reading is paused, only the kernel knows that a client has left.
+    if (busy() && channel_->paused() && !peer_closed_ &&
+        channel_->peer_has_closed()) {
+        on_closed({});
+    }
+    if (state_ == state::sending &&
+        now - last_activity_ > limits_.idle_timeout) {
+        close_now();
+    }
     if (state_ != state::reading || waiting_since_) {
         return;
     }
@@ -265,7 +368,15 @@
 
 void server_connection::on_sent()
 {
+    auto const self = shared_from_this();
     update_memory();
+    if (state_ == state::sending) {
+        last_activity_ = monotonic_clock::now();
+        if (channel_->unsent_bytes() == 0) {
+            on_response_sent();
+        }
+        return;
+    }
     if (auto const handler = sent_handler_) {
         handler();
     }
@@ -277,7 +388,7 @@
     auto const before = held_.bytes();
     held_.set(sizeof *this + parser_.held_bytes() + heap_bytes(unparsed_) +
               channel_->held_bytes() + exchange_bytes_ +
-              (waiting_since_ ? paused_kernel_bytes : 0));
+              (channel_->paused() ? channel_->receive_buffer() : 0));
     if (held_.bytes() > before && held_.account().exceeded()) {
         check_memory_();
     }
@@ -286,11 +397,12 @@
 /// Stops reading a large request while memory is scarce.
 void server_connection::pause_for_memory()
 {
-    if (state_ != state::reading || may_grow_ || waiting_since_ ||
-        !held_.account().under_pressure() || held_.bytes() < min_paused_bytes) {
+    if (state_ != state::reading || !parser_.started() || may_grow_ ||
+        waiting_since_ || !held_.account().under_pressure() ||
+        held_.bytes() < min_paused_bytes) {
         return;
     }
-    waiting_since_ = last_activity_;
+    waiting_since_ = monotonic_clock::now();
     channel_->pause();
     update_memory();
 }
@@ -306,6 +418,9 @@
     holder.without_progress = now - progress_.at();
     if (channel_->unsent_bytes() > 0) {
         holder.kind = holder_kind::unread_answer;
+    } else if (state_ == state::responding && !unparsed_.empty()) {
+        holder.kind = holder_kind::further_requests;
+        holder.bytes = heap_bytes(unparsed_);
     } else if (state_ == state::reading && parser_.started()) {
         holder.kind = holder_kind::unfinished_request;
         holder.began = head_started_;
@@ -326,8 +441,7 @@
     may_grow_ = true;
     last_activity_ = reading_since_ = now;
     progress_.restart(channel_->moved_bytes(), now);
-    update_memory();
-    channel_->resume();
+    update_reading();
 }
 
 void server_connection::release_memory()
@@ -335,6 +449,8 @@
     auto const self = shared_from_this();
     if (state_ == state::reading && parser_.started()) {
         refuse(service_unavailable);
+    } else if (state_ == state::responding && channel_->unsent_bytes() == 0) {
+        drop_further_requests();
     } else {
         break_off();
     }
--- a/tests/clients/client_limits.py
+++ b/tests/clients/client_limits.py
@@ -161,12 +161,12 @@
         return found
 
 
-async def crowd_case(attack, count, limits, read_s, case):
+async def crowd_case(attack, count, limits, read_s, port, case):
     """Plays a crowd of clients that all do the same."""
     site = Site(case, limits)
     await site.start()
     site.usage.start()
-    crowd = Crowd(case, site.gateway.ip)
+    crowd = Crowd(case, site.gateway.ip, port)
     crowd.start(attack, count)
     await crowd.settle(8.0)
     await asyncio.sleep(read_s)  # For what the kernel still holds.
@@ -199,9 +199,10 @@
     return {"limits.memoryMb": str(memory_mb), "limits.maxFds": str(max_fds)}
 
 
-def crowd_of(attack, count, memory_mb=120, max_fds=3075, read_s=0.5):
+def crowd_of(attack, count, memory_mb=120, max_fds=3075, read_s=0.5,
+             port=harness.ENTRY):
     return functools.partial(crowd_case, attack, count,
-                             limits_of(memory_mb, max_fds), read_s)
+                             limits_of(memory_mb, max_fds), read_s, port)
 
 
 CASES = {
@@ -214,6 +215,15 @@
     "announced_over_limit": crowd_of("announced_over_limit", 60),
     "endless_heads": crowd_of("endless_heads", 300, memory_mb=64),
     "slow_readers": crowd_of("slow_reader", 200, memory_mb=32),
+    "pipelined_requests": crowd_of("pipelined_requests", 60, memory_mb=32),
+    "unread_metrics": crowd_of("pipelined_queries", 60, memory_mb=32,
+                               port=harness.METRICS),
+    "unread_readiness": crowd_of("pipelined_queries", 60, memory_mb=32,
+                                 port=harness.READY),
+    "unread_addresses": crowd_of("pipelined_queries", 60, memory_mb=32,
+                                 port=harness.DIRECTORY),
+    "unread_peer_queries": crowd_of("pipelined_queries", 60, memory_mb=32,
+                                    port=harness.PEER),
     "pausing_reader": functools.partial(pausing_reader,
                                         limits_of(120, 3075)),
     "idle_connections": crowd_of("idle", 400, max_fds=500),
--- a/tests/clients/crowd.py
+++ b/tests/clients/crowd.py
@@ -9,6 +9,9 @@
 MAX_BODY = 4194304
 SHORT_BY = 1000
 LARGE_CHUNK = 65536
+SMALL_BODY = 600
+PIPELINED_REQUESTS = 2000
+PIPELINED_QUERIES = 3000
 
 
 def request_head(case, framing, path="/order/a"):
@@ -25,9 +28,11 @@
 class Crowd:
     """Runs clients until stop(); each remembers how it ended."""
 
-    def __init__(self, case, address):
+    def __init__(self, case, address, port=harness.ENTRY, head=request_head):
         self.case = case
         self.address = address
+        self.port = port
+        self.head = head
         self.tasks = []
         self.sent_all = 0
         self.ends = collections.Counter()
@@ -56,10 +61,10 @@
         end = "closed"
         try:
             reader, writer = await asyncio.open_connection(
-                self.address, harness.ENTRY, limit=16384)
+                self.address, self.port, limit=16384)
             await attack(writer)
             self.sent_all += 1
-            if attack == self.slow_reader:
+            if attack in self.never_reading():
                 await asyncio.sleep(3600)
             head = await wire.read_head(reader)
             end = str(head.status) if head else "closed"
@@ -74,6 +79,10 @@
             if writer is not None:
                 writer.transport.abort()
 
+    def never_reading(self):
+        return (self.slow_reader, self.pipelined_requests,
+                self.pipelined_queries)
+
     async def chunked_short_of_end(self, writer):
         await self.send_chunks(writer, MAX_BODY - SHORT_BY)
 
@@ -81,7 +90,7 @@
         await self.send_chunks(writer, 5 * MAX_BODY)
 
     async def send_chunks(self, writer, total):
-        writer.write(request_head(self.case, CHUNKED))
+        writer.write(self.head(self.case, CHUNKED))
         part = wire.chunk(b"c" * LARGE_CHUNK)
         for _ in range(total // LARGE_CHUNK):
             writer.write(part)
@@ -96,7 +105,7 @@
         await self.send_announced(writer, 5 * MAX_BODY, 5 * MAX_BODY)
 
     async def send_announced(self, writer, length, total):
-        writer.write(request_head(self.case, f"Content-Length: {length}"))
+        writer.write(self.head(self.case, f"Content-Length: {length}"))
         for _ in range(total // LARGE_CHUNK):
             writer.write(b"a" * LARGE_CHUNK)
             await writer.drain()
@@ -105,28 +114,44 @@
 
     async def whole_bodies(self, writer):
         """Complete requests that the backend server works on for long."""
-        writer.write(request_head(self.case, f"Content-Length: {MAX_BODY}",
+        writer.write(self.head(self.case, f"Content-Length: {MAX_BODY}",
                                   "/order/slow"))
         for _ in range(MAX_BODY // LARGE_CHUNK):
             writer.write(b"w" * LARGE_CHUNK)
             await writer.drain()
 
+    async def pipelined_requests(self, writer):
+        """Complete small requests, each sent without the answer before it."""
+        writer.transport.pause_reading()
+        for _ in range(PIPELINED_REQUESTS):
+            writer.write(self.head(self.case,
+                                   f"Content-Length: {SMALL_BODY}")
+                         + b"p" * SMALL_BODY)
+            await writer.drain()
+
+    async def pipelined_queries(self, writer):
+        """Requests that the process answers by itself, answers unread."""
+        writer.transport.pause_reading()
+        for _ in range(PIPELINED_QUERIES):
+            writer.write(b"GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n")
+            await writer.drain()
+
     async def one_byte_chunks(self, writer):
-        writer.write(request_head(self.case, CHUNKED))
+        writer.write(self.head(self.case, CHUNKED))
         for _ in range(300):
             writer.write(b"1\r\nb\r\n" * 1000)
             await writer.drain()
 
     async def endless_heads(self, writer):
         """Fields as short as they can be take the most memory for each byte."""
-        writer.write(request_head(self.case, CHUNKED)[:-2])
+        writer.write(self.head(self.case, CHUNKED)[:-2])
         for _ in range(10):
             writer.write(b"a:\r\n" * 300)
             await writer.drain()
             await asyncio.sleep(0.1)
 
     async def slow_reader(self, writer):
-        writer.write(request_head(self.case, "Content-Length: 0",
+        writer.write(self.head(self.case, "Content-Length: 0",
                                   "/order/large"))
         await writer.drain()
         writer.transport.pause_reading()
@@ -135,5 +160,5 @@
         pass
 
     async def half_head(self, writer):
-        writer.write(request_head(self.case, CHUNKED)[:-2])
+        writer.write(self.head(self.case, CHUNKED)[:-2])
         await writer.drain()
