Close small holders that together hold more than a quarter of the budget

What callers saw: 1,650 clients with 14 kB of an unfinished request each took a gateway to 34.4 MB where the machine has 32. Cause: a holder of less than 16 KB was never closed, so that the number of connections times 16 KB could exceed the budget; and each connection had a receive buffer of at least 16 KB in the kernel. Ruled out: a lower bound for all, which would close small requests for what large ones hold. Change: the small holders together may hold a quarter of the budget. Beyond it, and if the budget is exceeded, the heaviest of them are closed. Once receive buffers of 16 KB could hold half of the budget, further ones have 4 KB. Test: head_sized_bodies failed on with 34,438,830 bytes of 32,000,000.

--- a/src/libhttp/include/medlarstall/http/memory_pressure_policy.hpp
+++ b/src/libhttp/include/medlarstall/http/memory_pressure_policy.hpp
@@ -47,13 +47,14 @@
 
 /// Decides which connections are closed and which waiting requests are read
 /// when the connections of a process hold more than they should. Closed are
-/// those that hold the most for the longest time without progress. Never closed
-/// are holders of little, and requests that a backend server works on.
+/// those that hold the most for the longest time without progress. Holders of
+/// little are closed only if they are so many that together they hold much.
+/// Never closed are requests that a backend server works on.
 class memory_pressure_policy
 {
 public:
-    /// Holders of less are neither paused nor closed, so that small requests
-    /// are served however much others hold.
+    /// Holders of less are not closed for what others hold, so that small
+    /// requests are served meanwhile.
     static constexpr std::size_t min_bytes = 16384;
     /// A client without progress for this long is closed if others wait for
     /// its memory. A live client sends 16 KB sooner over the slowest links.
--- a/src/libhttp/src/http_listener.cpp
+++ b/src/libhttp/src/http_listener.cpp
@@ -24,6 +24,8 @@
 /// the budget. A process that is slow to read would otherwise have too much in
 /// the kernel.
 constexpr std::size_t crowded_receive_buffer_bytes = 16384;
+/// The same once those, too, could hold half of the budget.
+constexpr std::size_t min_receive_buffer_bytes = 4096;
 /// Bytes of an answer that the kernel accepts before it can send them.
 constexpr std::size_t kernel_unsent_bytes = 131072;
 /// A connection idle for less is not closed to make room: its request may be
@@ -120,10 +122,15 @@
 
 void http_listener::set_kernel_limits(byte_channel& channel) const
 {
-    auto const crowded =
-        connections_.size() * 2 * receive_buffer_bytes > account_->limit() / 2;
-    channel.set_receive_buffer(crowded ? crowded_receive_buffer_bytes
-                                       : receive_buffer_bytes);
+    auto const could_hold_half = [this](std::size_t buffer_bytes) {
+        return connections_.size() * 2 * buffer_bytes > account_->limit() / 2;
+    };
+    auto const receive_buffer = !could_hold_half(receive_buffer_bytes)
+                                    ? receive_buffer_bytes
+                                : !could_hold_half(crowded_receive_buffer_bytes)
+                                    ? crowded_receive_buffer_bytes
+                                    : min_receive_buffer_bytes;
+    channel.set_receive_buffer(receive_buffer);
     channel.set_unsent_limit(kernel_unsent_bytes);
 }
 
--- a/src/libhttp/src/memory_pressure_policy.cpp
+++ b/src/libhttp/src/memory_pressure_policy.cpp
@@ -13,6 +13,10 @@
 /// so that the next bytes do not cause another decision at once.
 constexpr std::size_t spare_divisor = 8;
 
+/// Holders of little may hold this part of the budget together, whatever others
+/// hold.
+constexpr std::size_t small_share_divisor = 4;
+
 /// \return bytes times milliseconds, by which holders are closed. What was read
 ///     ahead goes first, as its client loses least.
 double closing_weight_of(memory_holder const& holder)
@@ -43,8 +47,10 @@
     {
         for (std::size_t index = 0; index < holders.size(); ++index) {
             auto const& holder = holders[index];
-            if (holder.kind != holder_kind::nothing_closable &&
-                !is_small(holder)) {
+            if (is_small(holder)) {
+                small_.push_back(index);
+                small_held_ += holder.bytes;
+            } else if (holder.kind != holder_kind::nothing_closable) {
                 closable_.push_back(index);
             }
             if (holder.waiting) {
@@ -58,6 +64,7 @@
             return closing_weight_of(holders_[index]);
         };
         std::ranges::stable_sort(closable_, std::greater{}, weight);
+        std::ranges::stable_sort(small_, std::greater{}, weight);
         std::ranges::stable_sort(
             waiting_, {}, [&](auto index) { return holders_[index].began; });
     }
@@ -85,6 +92,14 @@
             }
             close(index);
         }
+        for (auto const index : small_) {
+            if (held_ <= target ||
+                small_held_ <= limit_ / small_share_divisor) {
+                return;
+            }
+            small_held_ -= holders_[index].bytes;
+            close(index);
+        }
     }
 
     /// Closes stalled holders until the request that has waited longest fits.
@@ -164,6 +179,8 @@
     std::vector<memory_holder> const& holders_;
     std::vector<bool> closed_;
     std::vector<std::size_t> closable_; ///< Heaviest first.
+    std::vector<std::size_t> small_;    ///< Heaviest first.
+    std::size_t small_held_ = 0;        ///< By these, without closed ones.
     std::vector<std::size_t> waiting_;  ///< Longest first.
     std::size_t held_;
     std::size_t limit_;
--- a/tests/clients/crowd.py
+++ b/tests/clients/crowd.py
@@ -10,6 +10,7 @@
 SHORT_BY = 1000
 LARGE_CHUNK = 65536
 SMALL_BODY = 600
+HEAD_SIZED_BODY = 15000
 PIPELINED_REQUESTS = 2000
 PIPELINED_QUERIES = 3000
 
@@ -120,6 +121,13 @@
             writer.write(b"w" * LARGE_CHUNK)
             await writer.drain()
 
+    async def head_sized_bodies(self, writer):
+        """Each holds about as much as a request may in its header fields."""
+        writer.write(self.head(self.case,
+                               f"Content-Length: {HEAD_SIZED_BODY}")
+                     + b"h" * (HEAD_SIZED_BODY - SHORT_BY))
+        await writer.drain()
+
     async def pipelined_requests(self, writer):
         """Complete small requests, each sent without the answer before it."""
         writer.transport.pause_reading()
