Answer no request beyond the budget that holds more than 4 KB

What callers saw: nothing yet; found by reading. Requests that await an answer are never closed, and those of less than 64 KB never wait, so that 1,683 connections of a gateway could hold 108 MB of bodies where 12.8 MB are allowed. Cause: no decision was made when a complete request was handed on. Ruled out: closing requests at work, which their clients are not to blame for; a check of all that is held, as unfinished bodies can be closed instead. Change: the account knows what is held for requests being answered. A request that would take these beyond the budget gets 503 with Retry-After and is not handed on; at most 4 KB are always accepted, so that small requests are served. Once the budget is exceeded, unfinished requests wait from 4 KB on. A refusal for lack of memory says Retry-After; the owner of a listener can make the response. The listener gets what medlarstalld needs of it: limits of fields, of the path and of the time of a request, and an end that leaves no callback.

--- a/src/libhttp/include/medlarstall/http/http_listener.hpp
+++ b/src/libhttp/include/medlarstall/http/http_listener.hpp
@@ -29,6 +29,9 @@
     http_listener(asio::io_context& context, server_events events,
                   std::size_t max_connections,
                   std::shared_ptr<memory_account> account = nullptr);
+    ~http_listener();
+    http_listener(http_listener const&) = delete;
+    http_listener& operator=(http_listener const&) = delete;
 
     /// Binds to an address and starts accepting.
     /// \param address address to listen at; port 0 selects a free port
@@ -87,7 +90,7 @@
     std::size_t max_connections_;
     std::shared_ptr<memory_account> account_;
     std::function<void()> on_memory_exceeded_;
-    /// Shared with the posted check, which may run after this is destroyed.
+    /// Shared with handlers that may run after this is destroyed.
     std::shared_ptr<bool> check_pending_ = std::make_shared<bool>(false);
     std::set<std::shared_ptr<server_connection>> connections_;
     bool draining_ = false;
--- a/src/libhttp/include/medlarstall/http/memory_account.hpp
+++ b/src/libhttp/include/medlarstall/http/memory_account.hpp
@@ -54,11 +54,29 @@
     /// \return true if more than the budget is held
     [[nodiscard]] bool exceeded() const { return held_ > limit_; }
 
+    /// Tells whether a request may be answered. What is held for it then can be
+    /// freed only by the end of its answer.
+    /// \param bytes what the request holds
+    /// \return true if the requests being answered keep the budget with it
+    [[nodiscard]] bool may_answer(std::size_t bytes) const
+    {
+        return answering_ + bytes <= limit_;
+    }
+
+    /// Counts what is held for a request that is being answered.
+    /// \param before bytes that were counted for it so far
+    /// \param after bytes that it holds now
+    void change_answering(std::size_t before, std::size_t after)
+    {
+        answering_ += after - before;
+    }
+
 private:
     friend class held_memory;
 
     std::size_t limit_;
     std::size_t held_ = 0;
+    std::size_t answering_ = 0; ///< Of these, for requests being answered.
 };
 
 /// The share of one holder in an account. It is returned on destruction.
@@ -84,7 +102,7 @@
     [[nodiscard]] std::size_t bytes() const { return bytes_; }
 
     /// \return the account of the process
-    [[nodiscard]] memory_account const& account() const { return *account_; }
+    [[nodiscard]] memory_account& account() const { return *account_; }
 
 private:
     std::shared_ptr<memory_account> account_;
--- a/src/libhttp/include/medlarstall/http/message_parser.hpp
+++ b/src/libhttp/include/medlarstall/http/message_parser.hpp
@@ -37,6 +37,10 @@
 {
     std::size_t max_head_bytes = 65536;
     std::uint64_t max_body_bytes = UINT64_MAX;
+    std::size_t max_target_bytes = SIZE_MAX;
+    /// Of the name and of the value of one header field.
+    std::size_t max_field_bytes = SIZE_MAX;
+    std::size_t max_fields = SIZE_MAX;
 };
 
 /// Parses one HTTP/1.1 message at a time from a byte stream. It stops right
--- a/src/libhttp/include/medlarstall/http/server_connection.hpp
+++ b/src/libhttp/include/medlarstall/http/server_connection.hpp
@@ -11,6 +11,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <string>
@@ -27,6 +28,13 @@
     std::chrono::milliseconds head_timeout{3000};
     /// Without any byte received, between requests or within one.
     std::chrono::milliseconds idle_timeout{15000};
+    /// From the first byte of a request to its end; without the time in which
+    /// reading is paused.
+    std::optional<std::chrono::milliseconds> request_timeout;
+    std::size_t max_target_bytes = std::numeric_limits<std::size_t>::max();
+    /// Of the name and of the value of one header field.
+    std::size_t max_field_bytes = std::numeric_limits<std::size_t>::max();
+    std::size_t max_fields = std::numeric_limits<std::size_t>::max();
 };
 
 /// Why a connection was closed to keep the limits of the process.
@@ -48,6 +56,8 @@
     std::function<void(int)> refused;
     /// A connection is being closed for lack of memory or of descriptors.
     std::function<void(limit_closure const&)> closed_for_limit;
+    /// Makes the response to a request that is rejected with this status code.
+    std::function<response(int)> refusal;
 };
 
 /// A connection from a caller. It reads one request at a time and passes it to
@@ -99,6 +109,10 @@
     /// Closes the connection at once, after a refusal if a request has begun.
     void close_for_descriptors();
 
+    /// Closes the connection at once, without notice to the handler of a
+    /// request, since what this refers to is being destroyed.
+    void detach();
+
     /// \return true once the connection is closed
     [[nodiscard]] bool closed() const { return state_ == state::closed; }
 
@@ -156,6 +170,7 @@
     void reject_request();
     void refuse(int status);
     void break_off();
+    void count_exchange(std::size_t before, std::size_t after);
     void update_memory();
     void pause_for_memory();
     void on_sent();
--- a/src/libhttp/src/exchange.cpp
+++ b/src/libhttp/src/exchange.cpp
@@ -26,7 +26,7 @@
       request_bytes_{heap_bytes(*body_) + head_.headers.held_bytes()},
       read_at_{read_at}, arrived_at_{arrived_at}
 {
-    connection_->exchange_bytes_ += request_bytes_;
+    connection_->count_exchange(0, request_bytes_);
 }
 
 exchange::~exchange()
@@ -34,7 +34,7 @@
     if (!response_ended_) {
         abort();
     }
-    connection_->exchange_bytes_ -= request_bytes_ + handler_bytes_;
+    connection_->count_exchange(request_bytes_ + handler_bytes_, 0);
     connection_->update_memory();
 }
 
@@ -145,7 +145,7 @@
 
 void exchange::set_held_bytes(std::size_t bytes)
 {
-    connection_->exchange_bytes_ += bytes - handler_bytes_;
+    connection_->count_exchange(handler_bytes_, bytes);
     handler_bytes_ = bytes;
     connection_->update_memory();
 }
--- a/src/libhttp/src/http_listener.cpp
+++ b/src/libhttp/src/http_listener.cpp
@@ -32,6 +32,18 @@
 /// in transit.
 constexpr std::chrono::milliseconds min_idle_to_close{200};
 
+/// \return a response that promises that the request was not and will not be
+///     handled
+response refusal_without_body(int status)
+{
+    constexpr int service_unavailable = 503;
+    response refusal{{.status = status, .reason = {}, .headers = {}}, {}};
+    if (status == service_unavailable) {
+        refusal.head.headers.add("Retry-After", "1");
+    }
+    return refusal;
+}
+
 } // namespace
 
 http_listener::http_listener(asio::io_context& context, server_events events,
@@ -53,6 +65,17 @@
         events_.refused = [](int) {
         };
     }
+    if (!events_.refusal) {
+        events_.refusal = refusal_without_body;
+    }
+}
+
+http_listener::~http_listener()
+{
+    close();
+    for (auto const& connection : connections_) {
+        connection->detach();
+    }
 }
 
 status http_listener::listen(asio::ip::tcp::endpoint const& address)
@@ -87,8 +110,11 @@
 void http_listener::accept()
 {
     acceptor_.async_accept(
-        [this](std::error_code failure, asio::ip::tcp::socket socket) {
-            on_accepted(failure, std::move(socket));
+        [this, weak = std::weak_ptr{check_pending_}](
+            std::error_code failure, asio::ip::tcp::socket socket) {
+            if (weak.lock()) {
+                on_accepted(failure, std::move(socket));
+            }
         });
 }
 
@@ -208,8 +234,9 @@
 void http_listener::retry_accept_later()
 {
     retry_timer_.expires_after(accept_retry_delay);
-    retry_timer_.async_wait([this](std::error_code cancelled) {
-        if (cancelled) {
+    retry_timer_.async_wait([this, weak = std::weak_ptr{check_pending_}](
+                                std::error_code cancelled) {
+        if (cancelled || !weak.lock()) {
             return;
         }
         auto const now = monotonic_clock::now();
--- a/src/libhttp/src/message_parser.cpp
+++ b/src/libhttp/src/message_parser.cpp
@@ -180,7 +180,8 @@
                                        std::size_t length)
 {
     text.append(data, length);
-    return text.size() > limits_.max_head_bytes
+    return text.size() >
+                   std::min(limits_.max_head_bytes, limits_.max_target_bytes)
                ? fail(parse_failure::head_too_large)
                : 0;
 }
@@ -206,7 +207,10 @@
     constexpr std::size_t separator_bytes = 4; // ": " and CRLF.
     head_bytes_ += pending_header_.name.size() + pending_header_.value.size() +
                    separator_bytes;
-    if (head_bytes_ > limits_.max_head_bytes) {
+    if (head_bytes_ > limits_.max_head_bytes ||
+        pending_header_.name.size() > limits_.max_field_bytes ||
+        pending_header_.value.size() > limits_.max_field_bytes ||
+        headers().entries().size() >= limits_.max_fields) {
         fail(parse_failure::head_too_large);
         return false;
     }
--- a/src/libhttp/src/server_connection.cpp
+++ b/src/libhttp/src/server_connection.cpp
@@ -22,6 +22,10 @@
 constexpr std::size_t scarce_read_bytes = 2048;
 /// A request that holds less is never paused for lack of memory.
 constexpr std::size_t min_paused_bytes = 65536;
+/// The same once more than the budget is held.
+constexpr std::size_t min_paused_if_exceeded = 4096;
+/// A request that holds no more is answered whatever others hold.
+constexpr std::size_t always_answered_bytes = 4096;
 /// How long to wait for the peer to close after the last response.
 constexpr std::chrono::seconds linger_timeout{2};
 /// After this time without bytes, no request is likely to be in transit.
@@ -29,7 +33,8 @@
 
 parser_limits parser_limits_of(server_limits const& limits)
 {
-    return {limits.max_head_bytes, limits.max_body_bytes};
+    return {limits.max_head_bytes, limits.max_body_bytes,
+            limits.max_target_bytes, limits.max_field_bytes, limits.max_fields};
 }
 
 int status_of(parse_failure failure)
@@ -219,18 +224,24 @@
     refuse(status_of(parser_.failure()));
 }
 
-/// Sends a response without a body to an unfinished request, and reads no more
-/// requests.
+/// Responds to an unfinished request, and reads no more requests.
 void server_connection::refuse(int status)
 {
-    response_head const head{.status = status, .reason = {}, .headers = {}};
-    send(serialize_response_head(head, body_framing::length, 0, true));
+    auto const refusal = events_.refusal(status);
+    send(serialize_response_head(refusal.head, body_framing::length,
+                                 refusal.body.size(), true) +
+         refusal.body);
     events_.refused(status);
     linger();
 }
 
 void server_connection::dispatch_request()
 {
+    auto const bytes = parser_.held_bytes();
+    if (bytes > always_answered_bytes && !held_.account().may_answer(bytes)) {
+        refuse(service_unavailable);
+        return;
+    }
     state_ = state::responding;
     may_grow_ = false;
     close_after_response_ = close_after_response_ || !parser_.keeps_alive();
@@ -351,7 +362,10 @@
     auto const head_timed_out =
         !parser_.has_head() && now - head_started_ > limits_.head_timeout;
     auto const idle_timed_out = now - last_activity_ > limits_.idle_timeout;
-    if (head_timed_out || idle_timed_out) {
+    auto const request_timed_out =
+        limits_.request_timeout &&
+        now - head_started_ > *limits_.request_timeout;
+    if (head_timed_out || idle_timed_out || request_timed_out) {
         refuse(request_timeout);
     }
 }
@@ -382,6 +396,12 @@
     }
 }
 
+void server_connection::count_exchange(std::size_t before, std::size_t after)
+{
+    exchange_bytes_ += after - before;
+    held_.account().change_answering(before, after);
+}
+
 /// Counts the capacity of all buffers of the connection.
 void server_connection::update_memory()
 {
@@ -397,9 +417,11 @@
 /// Stops reading a large request while memory is scarce.
 void server_connection::pause_for_memory()
 {
+    auto const& account = held_.account();
+    auto const least =
+        account.exceeded() ? min_paused_if_exceeded : min_paused_bytes;
     if (state_ != state::reading || !parser_.started() || may_grow_ ||
-        waiting_since_ || !held_.account().under_pressure() ||
-        held_.bytes() < min_paused_bytes) {
+        waiting_since_ || !account.under_pressure() || held_.bytes() < least) {
         return;
     }
     waiting_since_ = monotonic_clock::now();
@@ -437,6 +459,7 @@
     if (!waiting_since_) {
         return;
     }
+    head_started_ += now - *waiting_since_;
     waiting_since_.reset();
     may_grow_ = true;
     last_activity_ = reading_since_ = now;
@@ -465,6 +488,14 @@
     break_off();
 }
 
+void server_connection::detach()
+{
+    peer_closed_ = true;
+    caller_disconnected_handler_ = nullptr;
+    sent_handler_ = nullptr;
+    close_now();
+}
+
 /// Closes the connection at once. The handler of a request that is being
 /// answered learns of it as if the caller had left.
 void server_connection::break_off()
--- a/tests/clients/client_limits.py
+++ b/tests/clients/client_limits.py
@@ -226,6 +226,8 @@
                                     port=harness.PEER),
     "head_sized_bodies": crowd_of("head_sized_bodies", 1650, memory_mb=32,
                                   max_fds=4100),
+    "medium_bodies": crowd_of("medium_bodies", 1200, memory_mb=32,
+                              max_fds=4100),
     "pausing_reader": functools.partial(pausing_reader,
                                         limits_of(120, 3075)),
     "idle_connections": crowd_of("idle", 400, max_fds=500),
--- a/tests/clients/crowd.py
+++ b/tests/clients/crowd.py
@@ -11,6 +11,7 @@
 LARGE_CHUNK = 65536
 SMALL_BODY = 600
 HEAD_SIZED_BODY = 15000
+MEDIUM_BODY = 60000
 PIPELINED_REQUESTS = 2000
 PIPELINED_QUERIES = 3000
 
@@ -121,6 +122,13 @@
             writer.write(b"w" * LARGE_CHUNK)
             await writer.drain()
 
+    async def medium_bodies(self, writer):
+        """Complete requests, each below what is paused for lack of memory,
+        that the backend server works on for long."""
+        writer.write(self.head(self.case, f"Content-Length: {MEDIUM_BODY}",
+                               "/order/slow") + b"m" * MEDIUM_BODY)
+        await writer.drain()
+
     async def head_sized_bodies(self, writer):
         """Each holds about as much as a request may in its header fields."""
         writer.write(self.head(self.case,
--- a/tests/libhttp/read_ahead_test.cpp
+++ b/tests/libhttp/read_ahead_test.cpp
@@ -314,3 +314,54 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(exceeded_budget_suite)
+
+// Requests that await an answer are never closed, so that together they could
+// exceed the budget, each of them small enough not to wait.
+BOOST_AUTO_TEST_CASE(complete_requests_exceed_the_budget)
+{
+    constexpr std::size_t budget = 200000;
+    pipelining_world world{budget};
+    world.connect();
+    world.poll();
+    world.clients[0]->add_requests(1, 0);
+    world.clients[0]->send();
+    world.poll();
+    BOOST_REQUIRE_EQUAL(world.exchanges.size(), 1U);
+    world.exchanges[0]->set_held_bytes(2 * budget);
+    world.connect();
+    world.poll();
+    world.clients[1]->add_requests(1, 30000);
+    world.clients[1]->send();
+    for (auto waited = 0ms; waited < 4s; waited += 100ms) {
+        world.poll();
+        world.listener.close_expired(monotonic_clock::now() + waited);
+    }
+    BOOST_TEST(world.exchanges.size() == 1U);
+    world.clients[1]->receive();
+    auto const& refusal = world.clients[1]->received;
+    BOOST_TEST(refusal.starts_with("HTTP/1.1 503"));
+    BOOST_TEST(refusal.find("Retry-After: 1") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(a_small_request_is_refused_for_what_others_hold)
+{
+    constexpr std::size_t budget = 200000;
+    pipelining_world world{budget};
+    world.connect();
+    world.poll();
+    world.clients[0]->add_requests(1, 0);
+    world.clients[0]->send();
+    world.poll();
+    BOOST_REQUIRE_EQUAL(world.exchanges.size(), 1U);
+    world.exchanges[0]->set_held_bytes(2 * budget);
+    world.connect();
+    world.poll();
+    world.clients[1]->add_requests(1, 600);
+    world.clients[1]->send();
+    world.poll();
+    BOOST_TEST(world.exchanges.size() == 2U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
