Let medlarstalld accept callers by the listener of the gateway

Cause: the program had a listener of its own, without an account, which held bodies of up to four times the limit before the key was looked at. Ruled out: a second account and a second set of bounds in RESTinio's server, where the next hole would again be mended in one program and stay in the other. Change: libentry keeps its interface and stands on libhttp, so that both programs have one listener, one account and one policy. `--memory-mb` (256) states the memory of the machine; connections leave descriptors for those to backend servers. A body is held once, and a second copy is counted for those who run it. A graceful stop waits until answers are sent, not only complete.

--- a/src/libdaemon/src/admin_service.cpp
+++ b/src/libdaemon/src/admin_service.cpp
@@ -177,7 +177,7 @@
                             operator_identity const& identity)
 {
     auto const document =
-        json::parse(exchange->request().body, nullptr, /*exceptions=*/false);
+        json::parse(exchange->request().body(), nullptr, /*exceptions=*/false);
     auto parsed = catalogue::record_reader{}.read_change(document);
     if (failed(parsed)) {
         exchange->respond(
--- a/src/libdaemon/src/chat_call.cpp
+++ b/src/libdaemon/src/chat_call.cpp
@@ -113,7 +113,7 @@
     work_order order{.attempt_id = new_attempt->id,
                      .request = routing_.request(),
                      .target = "/v1/chat/completions",
-                     .body = exchange_->request().body,
+                     .body = exchange_->request().body(),
                      .fingerprint = routing_.fingerprint()};
     order_handlers handlers;
     // The attempt owns the link. The handlers of the link hold only a weak
--- a/src/libdaemon/src/claimed_call.cpp
+++ b/src/libdaemon/src/claimed_call.cpp
@@ -67,7 +67,7 @@
         request_.organisation,
         service_request_.method + " " + service_request_.service + " " +
             service_request_.target,
-        exchange_->request().body);
+        exchange_->request().body());
     claim_handlers handlers;
     handlers.on_claim_won = [self = shared_from_this()](uuid const& attempt) {
         self->run_service_call(attempt);
--- a/src/libdaemon/src/daemon_implementation.cpp
+++ b/src/libdaemon/src/daemon_implementation.cpp
@@ -318,8 +318,7 @@
 
 bool daemon::implementation::idle() const
 {
-    return http_server_.open_exchange_count() == 0 &&
-           owner_service_.open_orders() == 0 &&
+    return http_server_.idle() && owner_service_.open_orders() == 0 &&
            claim_service_.statistics().unsettled_attempts == 0;
 }
 
--- a/src/libdaemon/src/entry_service.cpp
+++ b/src/libdaemon/src/entry_service.cpp
@@ -163,7 +163,7 @@
         return;
     }
     auto parse_result =
-        chat_request_parser{node_.settings.max_json_depth}.parse(http.body);
+        chat_request_parser{node_.settings.max_json_depth}.parse(http.body());
     if (auto const* problem = std::get_if<api_error>(&parse_result)) {
         exchange->respond(to_response(*problem));
         return;
@@ -185,7 +185,7 @@
     request.prompt_tokens = parsed_chat.prompt_tokens;
     request.expected_output_tokens = parsed_chat.max_tokens.value_or(0);
     auto const fingerprint =
-        routing::fingerprint_of(request.organisation, http.body);
+        routing::fingerprint_of(request.organisation, http.body());
     std::make_shared<chat_call>(node_, std::move(exchange),
                                 std::move(parsed_chat), std::move(request),
                                 fingerprint)
@@ -229,7 +229,7 @@
     request.repeatable = call_request.repeatable;
     request.resumable = false;
     auto const fingerprint =
-        routing::fingerprint_of(request.organisation, http.body);
+        routing::fingerprint_of(request.organisation, http.body());
     if (!call_request.repeatable) {
         std::make_shared<claimed_call>(node_, claims_, std::move(exchange),
                                        std::move(call_request),
--- a/src/libdaemon/src/service_call.cpp
+++ b/src/libdaemon/src/service_call.cpp
@@ -124,7 +124,7 @@
                      .method = service_request_.method,
                      .target = service_request_.target,
                      .fields = forwarded_request_fields(),
-                     .body = exchange_->request().body,
+                     .body = exchange_->request().body(),
                      .fingerprint = routing_.fingerprint()};
     order_handlers handlers;
     auto const weak = weak_from_this();
--- a/src/libentry/include/medlarstall/entry/exchange.hpp
+++ b/src/libentry/include/medlarstall/entry/exchange.hpp
@@ -6,27 +6,33 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
-#include <string>
+#include <string_view>
+
+namespace medlarstall::http {
+class exchange;
+}
 
 namespace medlarstall::entry {
 
 /// An HTTP request from a client and the response to it, which is sent either
-/// in one piece or streamed. Owned jointly by the HTTP server and the code that
-/// responds. Not thread-safe: use it only on the thread of the HTTP server.
+/// in one piece or streamed. Owned jointly by those who respond. Not
+/// thread-safe: use it only on the thread of the HTTP server.
 class exchange : public std::enable_shared_from_this<exchange>
 {
 public:
-    /// The functions through which an exchange uses the HTTP library.
-    struct transport;
-
-    /// \param request request that was received
-    /// \param connection sends the response to the client
-    exchange(http_request request, std::unique_ptr<transport> connection);
+    /// \param call request that was received, with its connection
+    /// \param open_count number of exchanges whose response is not complete;
+    ///     includes this one until it is
+    exchange(std::unique_ptr<http::exchange> call,
+             std::shared_ptr<std::size_t> open_count);
     /// Closes the connection if no response was started.
     ~exchange();
     exchange(exchange const&) = delete;
     exchange& operator=(exchange const&) = delete;
 
+    /// Notices from now on that the client disconnects. To be called once.
+    void watch_connection();
+
     /// \return the request as the client sent it
     [[nodiscard]] http_request const& request() const { return request_; }
 
@@ -39,21 +45,20 @@
     /// response was already started or the client has disconnected.
     /// \param status HTTP status code
     /// \param fields header fields of the response
-    void start_stream(int status, header_fields fields);
+    void start_stream(int status, header_fields const& fields);
 
-    /// Appends to the body of a streamed response. Chunks that are written
-    /// while an earlier one is being sent are sent together.
+    /// Appends to the body of a streamed response.
     /// \param chunk bytes to send
     void write(std::string_view chunk);
 
-    /// Completes a streamed response once everything written was sent.
+    /// Completes a streamed response after its last chunk.
     void finish();
 
     /// Closes the connection at once, so that the client can tell that the
     /// response is incomplete.
     void abort();
 
-    /// \return number of body bytes written but not yet passed to the socket
+    /// \return number of bytes written that the kernel has not accepted yet
     [[nodiscard]] std::size_t pending_bytes() const;
 
     /// \return true once a response was started
@@ -71,22 +76,15 @@
     /// \param handler called on the thread of the HTTP server
     void on_caller_disconnected(std::function<void()> handler);
 
-    /// Notifies the exchange that its connection was closed. Called by the
-    /// HTTP server.
-    void connection_closed();
-
 private:
+    void connection_closed();
     void mark_closed();
-    void flush();
-    void handle_sent(bool succeeded, std::size_t bytes);
 
+    std::unique_ptr<http::exchange> call_;
+    std::shared_ptr<std::size_t> open_count_;
     http_request request_;
-    std::unique_ptr<transport> transport_;
-    std::string buffered_;
-    std::size_t in_flight_bytes_ = 0;
     bool response_started_ = false;
     bool streaming_ = false;
-    bool finish_requested_ = false;
     bool closed_ = false;
     std::function<void()> on_sent_;
     std::function<void()> on_client_disconnected_;
--- a/src/libentry/include/medlarstall/entry/http_message.hpp
+++ b/src/libentry/include/medlarstall/entry/http_message.hpp
@@ -1,6 +1,7 @@
 #ifndef MEDLARSTALL_ENTRY_HTTP_MESSAGE_HPP
 #define MEDLARSTALL_ENTRY_HTTP_MESSAGE_HPP
 
+#include <memory>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -25,8 +26,12 @@
     std::string path;  ///< Path of the URL, without the query.
     std::string query; ///< Without the leading question mark.
     header_fields fields;
-    std::string body;
+    /// Shared with the connection, so that it is held once.
+    std::shared_ptr<std::string const> shared_body;
     std::string remote_address; ///< IP address, without the port.
+
+    /// \return the complete body, may be empty
+    [[nodiscard]] std::string const& body() const { return *shared_body; }
 };
 
 /// A complete HTTP response.
--- a/src/libentry/include/medlarstall/entry/http_server.hpp
+++ b/src/libentry/include/medlarstall/entry/http_server.hpp
@@ -29,8 +29,10 @@
     std::size_t max_fields = 64;
     std::size_t max_target_bytes = std::size_t{8} * 1024;
     std::size_t max_body_bytes = std::size_t{4} * 1024 * 1024;
+    /// Bytes that all connections together may hold for unfinished requests
+    /// and responses.
+    std::size_t max_held_bytes = std::size_t{100} * 1024 * 1024;
     std::chrono::milliseconds request_read_timeout{15'000};
-    std::chrono::milliseconds write_timeout{30'000};
 };
 
 /// The HTTP/1.1 server that clients, other daemons and operators connect to.
@@ -59,6 +61,9 @@
     /// \return number of exchanges whose response is not complete
     [[nodiscard]] std::size_t open_exchange_count() const;
 
+    /// \return true if each response is complete and was sent
+    [[nodiscard]] bool idle() const;
+
 private:
     struct implementation;
     std::unique_ptr<implementation> implementation_;
--- a/src/libentry/src/exchange.cpp
+++ b/src/libentry/src/exchange.cpp
@@ -1,82 +1,126 @@
 #include <medlarstall/entry/exchange.hpp>
 
-#include "transport.hpp"
+#include "response_head.hpp"
+
+#include <medlarstall/http/exchange.hpp>
+
+#include <utility>
 
 namespace medlarstall::entry {
 
-exchange::exchange(http_request request, std::unique_ptr<transport> connection)
-    : request_{std::move(request)}, transport_{std::move(connection)}
-{}
+namespace {
 
-void exchange::mark_closed()
+http_request to_request(http::exchange& call)
 {
-    closed_ = true;
-    transport_->on_ended();
+    auto& head = call.head();
+    http_request request;
+    request.method = std::move(head.method);
+    request.path = std::string{http::path_of(head.target)};
+    if (request.path.size() < head.target.size()) {
+        request.query = head.target.substr(request.path.size() + 1);
+    }
+    for (auto const& field : head.headers.entries()) {
+        request.fields.emplace_back(field.name, field.value);
+    }
+    head = {};
+    request.shared_body = call.shared_body();
+    request.remote_address = call.caller_address();
+    return request;
+}
+
+} // namespace
+
+exchange::exchange(std::unique_ptr<http::exchange> call,
+                   std::shared_ptr<std::size_t> open_count)
+    : call_{std::move(call)}, open_count_{std::move(open_count)},
+      request_{to_request(*call_)}
+{
+    ++*open_count_;
+    // Those who run the request keep a second copy of its body.
+    call_->set_held_bytes(request_.body().size());
 }
 
 exchange::~exchange()
 {
-    if (!response_started_ && !closed_) {
-        transport_->abort();
-    }
     if (!closed_) {
         mark_closed();
     }
 }
 
+void exchange::watch_connection()
+{
+    call_->on_caller_disconnected([weak = weak_from_this()] {
+        if (auto const self = weak.lock()) {
+            self->connection_closed();
+        }
+    });
+    call_->on_sent([weak = weak_from_this()] {
+        auto const self = weak.lock();
+        if (self && !self->closed_ && self->on_sent_) {
+            auto const handler = self->on_sent_;
+            handler();
+        }
+    });
+}
+
+void exchange::mark_closed()
+{
+    closed_ = true;
+    --*open_count_;
+    on_client_disconnected_ = nullptr;
+    on_sent_ = nullptr;
+}
+
 void exchange::respond(http_response response)
 {
+    auto const self = shared_from_this(); // A handler may own this.
     if (response_started_ || closed_) {
         return;
     }
     response_started_ = true;
     mark_closed();
-    on_client_disconnected_ = nullptr;
-    transport_->send_response(std::move(response));
+    call_->respond({to_response_head(response.status, response.fields),
+                    std::move(response.body)});
 }
 
-void exchange::start_stream(int status, header_fields fields)
+void exchange::start_stream(int status, header_fields const& fields)
 {
     if (response_started_ || closed_) {
         return;
     }
     response_started_ = true;
     streaming_ = true;
-    transport_->send_header(status, std::move(fields));
+    call_->start_response(to_response_head(status, fields));
 }
 
 void exchange::write(std::string_view chunk)
 {
-    if (!streaming_ || closed_ || finish_requested_) {
-        return;
+    if (streaming_ && !closed_) {
+        call_->write(chunk);
     }
-    buffered_ += chunk;
-    flush();
 }
 
 void exchange::finish()
 {
-    if (!streaming_ || closed_ || finish_requested_) {
-        return;
+    auto const self = shared_from_this(); // A handler may own this.
+    if (streaming_ && !closed_) {
+        mark_closed();
+        call_->finish();
     }
-    finish_requested_ = true;
-    flush();
 }
 
 void exchange::abort()
 {
-    if (closed_) {
-        return;
+    auto const self = shared_from_this(); // A handler may own this.
+    if (!closed_) {
+        mark_closed();
+        call_->abort();
     }
-    mark_closed();
-    on_client_disconnected_ = nullptr;
-    on_sent_ = nullptr;
-    transport_->abort();
 }
 
 std::size_t exchange::pending_bytes() const
 {
-    return buffered_.size() + in_flight_bytes_;
+    return closed_ ? 0 : call_->unsent_bytes();
 }
 
 void exchange::on_sent(std::function<void()> handler)
@@ -94,50 +138,9 @@
     if (closed_) {
         return;
     }
+    auto const handler = std::exchange(on_client_disconnected_, nullptr);
     mark_closed();
-    on_sent_ = nullptr;
-    if (auto const handler = std::exchange(on_client_disconnected_, nullptr)) {
-        handler();
-    }
-}
-
-void exchange::flush()
-{
-    if (in_flight_bytes_ > 0) {
-        return;
-    }
-    if (!buffered_.empty()) {
-        auto chunk = std::exchange(buffered_, {});
-        auto const bytes = chunk.size();
-        in_flight_bytes_ = bytes;
-        transport_->send_chunk(
-            std::move(chunk), [weak = weak_from_this(), bytes](bool succeeded) {
-                if (auto const self = weak.lock()) {
-                    self->handle_sent(succeeded, bytes);
-                }
-            });
-        return;
-    }
-    if (finish_requested_) {
-        mark_closed();
-        on_client_disconnected_ = nullptr;
-        on_sent_ = nullptr;
-        transport_->send_last_chunk();
-    }
-}
-
-void exchange::handle_sent(bool succeeded, std::size_t bytes)
-{
-    in_flight_bytes_ -= bytes;
-    if (closed_) {
-        return;
-    }
-    if (!succeeded) {
-        connection_closed();
-        return;
-    }
-    flush();
-    if (auto const handler = on_sent_) {
+    if (handler) {
         handler();
     }
 }
--- a/src/medlarstalld/main.cpp
+++ b/src/medlarstalld/main.cpp
@@ -2,10 +2,15 @@
 #include <medlarstall/daemon/daemon.hpp>
 #include <medlarstall/settings/setting_set.hpp>
 #include <medlarstall/support/log.hpp>
+#include <medlarstall/support/process_memory.hpp>
 
 #include <asio/io_context.hpp>
 #include <asio/signal_set.hpp>
 
+#include <sys/resource.h>
+
+#include <algorithm>
+#include <csignal>
 #include <cstdlib>
 #include <fstream>
 #include <iostream>
@@ -26,7 +31,8 @@
     std::string catalogue_file; ///< Path; empty for none.
     std::string log_level = "info";
     std::string log_format = "key-value";
-    bool check = false; ///< Validate the settings and exit.
+    std::uint64_t memory_mb = 256; ///< Of the machine.
+    bool check = false;            ///< Validate the settings and exit.
 };
 
 /// Declares the settings, with their limits and help texts.
@@ -65,6 +71,10 @@
     set.add_number("max-connections",
                    "Maximum of open connections from callers", 1, 1'000'000,
                    options.http_server.max_connections);
+    set.add_number("memory-mb",
+                   "Memory of the machine in MB, of which callers may hold a "
+                   "part",
+                   32, 1'000'000, target.memory_mb);
     set.add_number("max-body-bytes", "Maximum size of a request body", 1'024,
                    std::uint64_t{1} << 30U, options.http_server.max_body_bytes);
     set.add_number("max-field-bytes", "Maximum size of a header field", 256,
@@ -152,6 +162,33 @@
               << '\n';
 }
 
+/// Leaves descriptors for connections to backend servers, and derives the
+/// memory that connections may hold.
+void bound_by_machine(program_settings& settings)
+{
+    constexpr std::size_t own_descriptors = 50;
+    constexpr double program_memory_mb = 20; // Before the first request.
+    auto& server = settings.daemon.http_server;
+    server.max_held_bytes = held_memory_budget(
+        static_cast<double>(settings.memory_mb) - program_memory_mb);
+    rlimit limit{};
+    if (::getrlimit(RLIMIT_NOFILE, &limit) != 0 ||
+        limit.rlim_cur == RLIM_INFINITY) {
+        return;
+    }
+    auto const sockets =
+        std::max<std::size_t>(limit.rlim_cur, own_descriptors) -
+        own_descriptors;
+    auto const allowed = std::max<std::size_t>(sockets / 2, 1);
+    if (server.max_connections > allowed) {
+        log_line{severity::info, "connections_limited"}
+            .with("configured", server.max_connections)
+            .with("allowed", allowed)
+            .with("descriptors", limit.rlim_cur);
+        server.max_connections = allowed;
+    }
+}
+
 /// Runs the daemon until SIGTERM or SIGINT has drained it.
 /// \return exit code of the process
 int run(program_settings const& settings)
@@ -187,6 +224,8 @@
 
 int main(int argc, char** argv)
 {
+    return_freed_memory();
+    std::signal(SIGPIPE, SIG_IGN);
     program_settings settings;
     auto set = make_setting_set(settings);
     auto const read_result =
@@ -218,5 +257,6 @@
                    .format = settings.log_format == "json"
                                  ? log_format::json
                                  : log_format::key_value});
+    bound_by_machine(settings);
     return run(settings);
 }
