Bound connections at the port for other daemons that tell no secret

What callers saw: 400 silent clients at medlarstalld's port for other daemons took 52.3 MB where the test allows 32, and 413 descriptors of 350 allowed; clients that send PING frames the same, for as long as they liked. Cause: each connection had a zeroed read buffer of 64 KB, their number was not bounded, and any frame counted as a sign of life. An accept that failed for lack of a descriptor was repeated at once, without end. A daemon without a secret accepted any client that sent an empty one. Ruled out: the account of callers, as daemons must be heard while callers hold it all. Change: the read buffer is shared; at most 64 accepted connections may be without the secret, beyond which the oldest is closed; each must tell it within 3 s; a failed accept is repeated after 20 ms; an empty secret admits nobody. Tests: silent_peers and pinging_peers failed on (52,342,796 and 52,375,564 bytes). Now 20.8 MB and 77 descriptors in both; libpeer holds.

--- a/src/libpeer/include/medlarstall/peer/peer_connection.hpp
+++ b/src/libpeer/include/medlarstall/peer/peer_connection.hpp
@@ -4,6 +4,7 @@
 #include <medlarstall/support/time.hpp>
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -21,12 +22,19 @@
 /// Settings of a connection between daemons, for both sides.
 struct peer_settings
 {
-    std::string secret; ///< Common to all daemons.
+    /// Common to all daemons. If it is empty, no connection is accepted for
+    /// longer than it takes to refuse it.
+    std::string secret;
     /// A ping is sent when nothing was received for this long.
     std::chrono::milliseconds ping_interval{700};
     /// A connection on which nothing was received for this long is closed.
     std::chrono::milliseconds receive_timeout{2'500};
     std::chrono::milliseconds connect_timeout{1'000};
+    /// An accepted connection that has not told the secret by then is closed.
+    std::chrono::milliseconds authentication_timeout{3'000};
+    /// Accepted connections that have not told the secret; with one more, the
+    /// oldest is closed.
+    std::size_t max_unauthenticated = 64;
 };
 
 /// An HTTP/2 connection from this daemon to another.
--- a/src/libpeer/src/http2_connection.cpp
+++ b/src/libpeer/src/http2_connection.cpp
@@ -8,6 +8,8 @@
 
 #include <netinet/tcp.h>
 
+#include <array>
+
 namespace medlarstall::peer {
 
 namespace {
@@ -19,6 +21,9 @@
 /// Streams that the other daemon may have open at the same time.
 constexpr std::uint32_t max_concurrent_streams = 100'000;
 
+/// Bytes that are read from a socket at once.
+constexpr std::size_t read_buffer_bytes = std::size_t{64} * 1024;
+
 /// Frames are collected up to this size before they are written to the socket.
 constexpr std::size_t write_batch_bytes = std::size_t{128} * 1024;
 
@@ -82,6 +87,7 @@
     connected_ = true;
     socket_ = std::move(socket);
     on_stream_ = std::move(on_stream);
+    accepted_at_ = monotonic_clock::now();
     start_session(true);
     set_socket_options();
     schedule_ping();
@@ -92,6 +98,7 @@
 void http2_connection::set_socket_options()
 {
     asio::error_code ignored;
+    ignored = socket_.non_blocking(true, ignored);
     ignored = socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
     using user_timeout =
         asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
@@ -148,7 +155,9 @@
         established_ = true;
         return;
     }
-    if (!secret_matches(node.mapped().secret, settings_.secret)) {
+    authenticated_ = !settings_.secret.empty() &&
+                     secret_matches(node.mapped().secret, settings_.secret);
+    if (!authenticated_) {
         std::array const fields{make_header_field(":status", "401")};
         nghttp2_submit_response(session_, id, fields.data(), fields.size(),
                                 nullptr);
@@ -173,23 +182,36 @@
 
 void http2_connection::start_read()
 {
-    socket_.async_read_some(
-        asio::buffer(input_buffer_),
-        [self = shared_from_this()](auto const& failure, std::size_t bytes) {
-            if (failure || self->closed_) {
-                self->close();
-                return;
-            }
-            self->handle_input(bytes);
-        });
+    socket_.async_wait(asio::ip::tcp::socket::wait_read,
+                       [self = shared_from_this()](auto const& failure) {
+                           if (failure || self->closed_) {
+                               self->close();
+                               return;
+                           }
+                           self->on_readable();
+                       });
+}
+
+void http2_connection::on_readable()
+{
+    // Shared by all connections of the thread, so that an idle one holds none.
+    static thread_local std::array<std::uint8_t, read_buffer_bytes> buffer;
+    asio::error_code failure;
+    auto const bytes = socket_.read_some(asio::buffer(buffer), failure);
+    if (failure == asio::error::would_block) {
+        start_read();
+    } else if (failure) {
+        close();
+    } else {
+        handle_input(buffer.data(), bytes);
+    }
 }
 
-void http2_connection::handle_input(std::size_t bytes)
+void http2_connection::handle_input(std::uint8_t const* data, std::size_t bytes)
 {
     last_receive_time_ = monotonic_clock::now();
     bytes_received_ += bytes;
-    auto const processed =
-        nghttp2_session_mem_recv(session_, input_buffer_.data(), bytes);
+    auto const processed = nghttp2_session_mem_recv(session_, data, bytes);
     if (closed_) {
         return;
     }
@@ -257,9 +279,12 @@
         if (failure || !self || self->closed_) {
             return;
         }
-        auto const idle_time =
-            monotonic_clock::now() - self->last_receive_time_;
-        if (idle_time > self->settings_.receive_timeout) {
+        auto const now = monotonic_clock::now();
+        auto const idle_time = now - self->last_receive_time_;
+        auto const too_late =
+            self->unauthenticated() &&
+            now - self->accepted_at_ > self->settings_.authentication_timeout;
+        if (too_late || idle_time > self->settings_.receive_timeout) {
             self->close();
             return;
         }
--- a/src/libpeer/src/http2_connection.hpp
+++ b/src/libpeer/src/http2_connection.hpp
@@ -9,7 +9,6 @@
 #include <asio/steady_timer.hpp>
 #include <nghttp2/nghttp2.h>
 
-#include <array>
 #include <functional>
 #include <memory>
 #include <string>
@@ -61,6 +60,13 @@
     /// \return false once the connection was closed or either side sent GOAWAY
     [[nodiscard]] bool usable() const { return !closed_ && !going_away_; }
     [[nodiscard]] bool established() const { return established_; }
+
+    /// \return true while an accepted connection is open whose client has not
+    ///     told the secret yet
+    [[nodiscard]] bool unauthenticated() const
+    {
+        return is_server_ && !authenticated_ && !closed_;
+    }
     [[nodiscard]] std::uint64_t bytes_sent() const { return bytes_sent_; }
     [[nodiscard]] std::uint64_t bytes_received() const
     {
@@ -95,7 +101,8 @@
     void start_session(bool server);
     void set_socket_options();
     void start_read();
-    void handle_input(std::size_t bytes);
+    void on_readable();
+    void handle_input(std::uint8_t const* data, std::size_t bytes);
     void schedule_write();
     void start_write();
     void schedule_ping();
@@ -113,14 +120,15 @@
     stream_handler on_stream_;
     std::unordered_map<std::int32_t, std::shared_ptr<peer_stream>> streams_;
     std::unordered_map<std::int32_t, request_header> request_headers_;
-    std::array<std::uint8_t, std::size_t{64} * 1024> input_buffer_{};
     std::string output_buffer_;
     time_point last_receive_time_;
+    time_point accepted_at_;
     std::uint64_t bytes_sent_ = 0;
     std::uint64_t bytes_received_ = 0;
     bool is_server_ = false;
     bool connected_ = false;
     bool established_ = false;
+    bool authenticated_ = false; ///< The client has told the secret.
     bool closed_ = false;
     bool going_away_ = false;
     bool writing_ = false;
--- a/src/libpeer/src/peer_server.cpp
+++ b/src/libpeer/src/peer_server.cpp
@@ -7,6 +7,13 @@
 
 namespace medlarstall::peer {
 
+namespace {
+
+/// Delay before accepting again after an error.
+constexpr std::chrono::milliseconds accept_retry_delay{20};
+
+} // namespace
+
 class peer_server::implementation
     : public std::enable_shared_from_this<implementation>
 {
@@ -14,7 +21,7 @@
     implementation(asio::io_context& io, peer_settings settings,
                    stream_handler on_stream)
         : io_{io}, settings_{std::move(settings)}, acceptor_{io},
-          on_stream_{std::move(on_stream)}
+          retry_timer_{io}, on_stream_{std::move(on_stream)}
     {}
 
     result<std::uint16_t> listen(std::string const& address, std::uint16_t port)
@@ -47,6 +54,7 @@
     {
         asio::error_code ignored;
         ignored = acceptor_.close(ignored);
+        retry_timer_.cancel();
         on_stream_ = [](auto const&) {
         };
         for (auto const& weak : connections_) {
@@ -66,19 +74,35 @@
                 if (!self || failure == asio::error::operation_aborted) {
                     return;
                 }
-                if (!failure) {
-                    self->add_connection(std::move(socket));
+                if (failure) {
+                    self->accept_later();
+                    return;
                 }
+                self->add_connection(std::move(socket));
                 if (self->acceptor_.is_open()) {
                     self->accept_next();
                 }
             });
     }
 
+    /// Accepts again after a pause, as there may be no free descriptor.
+    void accept_later()
+    {
+        retry_timer_.expires_after(accept_retry_delay);
+        retry_timer_.async_wait(
+            [weak = weak_from_this()](auto const& cancelled) {
+                auto const self = weak.lock();
+                if (!cancelled && self && self->acceptor_.is_open()) {
+                    self->accept_next();
+                }
+            });
+    }
+
     void add_connection(asio::ip::tcp::socket socket)
     {
         std::erase_if(connections_,
                       [](auto const& weak) { return weak.expired(); });
+        close_excess_unauthenticated();
         auto const connection =
             std::make_shared<http2_connection>(io_, settings_);
         connections_.push_back(connection);
@@ -90,9 +114,27 @@
                            });
     }
 
+    /// Closes the oldest connections whose clients have not told the secret,
+    /// so that there is room for one more.
+    void close_excess_unauthenticated()
+    {
+        std::vector<std::shared_ptr<http2_connection>> unauthenticated;
+        for (auto const& weak : connections_) {
+            auto connection = weak.lock();
+            if (connection && connection->unauthenticated()) {
+                unauthenticated.push_back(std::move(connection));
+            }
+        }
+        for (auto left = unauthenticated.size();
+             left >= settings_.max_unauthenticated; --left) {
+            unauthenticated[unauthenticated.size() - left]->close();
+        }
+    }
+
     asio::io_context& io_;
     peer_settings settings_;
     asio::ip::tcp::acceptor acceptor_;
+    asio::steady_timer retry_timer_;
     stream_handler on_stream_;
     std::vector<std::weak_ptr<http2_connection>> connections_;
 };
--- a/tests/clients/standalone_limits.py
+++ b/tests/clients/standalone_limits.py
@@ -31,6 +31,9 @@
 CALLERS, PEERS, DESK = 8227, 7340, 8080
 OWN_DESCRIPTORS = 50
 ORDINARY_WAIT_S = 10
+PREFACE = (b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"
+           b"\x00\x00\x00\x04\x00\x00\x00\x00\x00")  # An empty SETTINGS.
+PING = b"\x00\x00\x08\x06\x00\x00\x00\x00\x00" + b"p" * 8
 
 
 def keyless_head(_case, framing, path="/services/desk/a"):
@@ -38,6 +41,25 @@
     return (f"POST {path} HTTP/1.1\r\nHost: h\r\n{framing}\r\n\r\n").encode()
 
 
+class PeerCrowd(Crowd):
+    """Clients at the port for other daemons that never tell its secret."""
+
+    def never_reading(self):
+        return (*super().never_reading(), self.silent_peers,
+                self.pinging_peers)
+
+    async def silent_peers(self, writer):
+        writer.write(PREFACE)
+        await writer.drain()
+
+    async def pinging_peers(self, writer):
+        writer.write(PREFACE)
+        while True:
+            writer.write(PING)
+            await writer.drain()
+            await asyncio.sleep(0.5)
+
+
 def catalogue(address):
     """Returns a catalogue with one organisation and one plain service."""
     return {
@@ -141,7 +163,7 @@
     try:
         await daemon.start()
         daemon.usage.start()
-        crowd = Crowd(None, daemon.ip, port, keyless_head)
+        crowd = PeerCrowd(None, daemon.ip, port, keyless_head)
         crowd.start(attack, count)
         await crowd.settle(8.0)
         await asyncio.sleep(0.5)  # For what the kernel still holds.
@@ -175,6 +197,10 @@
     "pipelined_requests": crowd_of("pipelined_requests", 60, memory_mb=32),
     "unread_metrics": crowd_of("pipelined_queries", 60, memory_mb=32),
     "idle_connections": crowd_of("idle", 400, max_connections=150),
+    "silent_peers": crowd_of("silent_peers", 400, memory_mb=32,
+                             max_connections=150, port=PEERS),
+    "pinging_peers": crowd_of("pinging_peers", 400, memory_mb=32,
+                              max_connections=150, port=PEERS),
 }
 
 
