Count no blank that a client has not sent in its head

What callers saw: a head of 14.2 kB in 3,500 fields without a blank after the colon got 431, though 16,384 bytes are allowed. Cause: four bytes were counted beyond name and value of each field, the colon, CRLF and a blank that need not be there. Ruled out: counting the bytes of the parser, which also reads the request line. Change: three bytes are counted, so that no head within the limit is refused.

--- a/src/libhttp/src/message_parser.cpp
+++ b/src/libhttp/src/message_parser.cpp
@@ -204,7 +204,8 @@
 
 bool message_parser::store_header()
 {
-    constexpr std::size_t separator_bytes = 4; // ": " and CRLF.
+    // The colon and CRLF. Blanks need not be sent and are not counted.
+    constexpr std::size_t separator_bytes = 3;
     head_bytes_ += pending_header_.name.size() + pending_header_.value.size() +
                    separator_bytes;
     if (head_bytes_ > limits_.max_head_bytes ||
--- a/tests/libhttp/message_parser_test.cpp
+++ b/tests/libhttp/message_parser_test.cpp
@@ -88,6 +88,17 @@
                                limits) == parse_failure::body_too_large));
 }
 
+// Blanks after the colon were counted even where none were sent.
+BOOST_AUTO_TEST_CASE(a_head_within_its_limit_is_rejected)
+{
+    parser_limits const limits{16384, 10};
+    std::string head = "GET / HTTP/1.1\r\nHost: h\r\n";
+    for (int field = 0; field < 3500; ++field) {
+        head += "a:\r\n";
+    }
+    BOOST_TEST(bool(failure_of(head + "\r\n", limits) == parse_failure::none));
+}
+
 BOOST_AUTO_TEST_CASE(body_without_framing_ends_when_the_connection_closes)
 {
     message_parser parser{message_kind::response};
