Refuse a chunk that announces more than the body may have

What callers saw: a client that announces a chunk of 1 GB kept its connection until the bytes of the limit had come, while an announced length is refused at once. Cause: the size of a chunk was not looked at. Ruled out: a limit on the size of a chunk by itself, as one chunk may be the whole body. Change: 413 when a chunk begins that would take the body beyond its limit. Test: a_chunk_that_announces_too_much_is_accepted failed on in two of its three checks and holds; a chunk of the limit itself is read.

--- a/src/libhttp/include/medlarstall/http/message_parser.hpp
+++ b/src/libhttp/include/medlarstall/http/message_parser.hpp
@@ -134,6 +134,7 @@
     int on_header_field(char const* data, std::size_t length);
     int on_header_value(char const* data, std::size_t length);
     int on_head();
+    int on_chunk_size(std::uint64_t length);
     int on_body(char const* data, std::size_t length);
     int on_complete();
     int fail(parse_failure reason);
--- a/src/libhttp/src/message_parser.cpp
+++ b/src/libhttp/src/message_parser.cpp
@@ -88,6 +88,9 @@
                               std::size_t length) {
             return owner_of(parser).on_body(data, length);
         };
+        settings.on_chunk_header = [](http_parser* parser) {
+            return owner_of(parser).on_chunk_size(parser->content_length);
+        };
         settings.on_message_complete = [](http_parser* parser) {
             return owner_of(parser).on_complete();
         };
@@ -269,6 +272,14 @@
     return no_body_ || bodiless ? skip_body : read_body;
 }
 
+/// Rejects a chunk at its size, as the announced length of a body is.
+int message_parser::on_chunk_size(std::uint64_t length)
+{
+    auto const left =
+        limits_.max_body_bytes - std::min(body_bytes_, limits_.max_body_bytes);
+    return length > left ? fail(parse_failure::body_too_large) : 0;
+}
+
 int message_parser::on_body(char const* data, std::size_t length)
 {
     body_bytes_ += length;
--- a/tests/libhttp/message_parser_test.cpp
+++ b/tests/libhttp/message_parser_test.cpp
@@ -99,6 +99,20 @@
     BOOST_TEST(bool(failure_of(head + "\r\n", limits) == parse_failure::none));
 }
 
+// A chunk beyond the limit was read up to the limit first.
+BOOST_AUTO_TEST_CASE(a_chunk_that_announces_too_much_is_accepted)
+{
+    parser_limits const limits{16384, 1000};
+    std::string const head =
+        "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+    BOOST_TEST(bool(failure_of(head + "3e9\r\n", limits) ==
+                    parse_failure::body_too_large));
+    BOOST_TEST(bool(failure_of(head + "1\r\nx\r\n3e8\r\n", limits) ==
+                    parse_failure::body_too_large));
+    BOOST_TEST(
+        bool(failure_of(head + "3e8\r\n", limits) == parse_failure::none));
+}
+
 BOOST_AUTO_TEST_CASE(body_without_framing_ends_when_the_connection_closes)
 {
     message_parser parser{message_kind::response};
