Read on after a refusal for as long as a client sends its request

What callers saw: once in five times a client that announced 5 MB where 4 are allowed and wrote all before it read saw its connection closed instead of 413, and may come back for nothing. Cause: after a refusal, as many bytes as one body were read, and for 2 s in all. Ruled out: reading on without a bound, which a client could use to occupy the machine; closing at once, which resets the connection. Change: four bodies are read and discarded, for 2 s after the last byte and 10 s in all.

--- a/src/libhttp/include/medlarstall/http/server_connection.hpp
+++ b/src/libhttp/include/medlarstall/http/server_connection.hpp
@@ -162,6 +162,7 @@
     void read_further_requests_later();
     std::string_view read_part(std::string_view bytes);
     void keep_unparsed(std::string_view bytes);
+    void discard(std::size_t bytes);
     void drop_unparsed();
     void drop_further_requests();
     [[nodiscard]] std::size_t read_limit();
@@ -205,6 +206,7 @@
     bool further_posted_ = false;  ///< read_further_requests() will be called.
     bool peer_closed_ = false;
     time_point last_activity_;
+    time_point last_discarded_; ///< When bytes last came after the response.
     /// End of the last pause of reading, which is not the delay of a request
     /// that the caller has sent meanwhile.
     time_point reading_since_;
--- a/src/libhttp/src/server_connection.cpp
+++ b/src/libhttp/src/server_connection.cpp
@@ -26,8 +26,13 @@
 constexpr std::size_t min_paused_if_exceeded = 4096;
 /// A request that holds no more is answered whatever others hold.
 constexpr std::size_t always_answered_bytes = 4096;
-/// How long to wait for the peer to close after the last response.
+/// How long to wait for the peer to close after the last response, since it
+/// last sent something and in all.
 constexpr std::chrono::seconds linger_timeout{2};
+constexpr std::chrono::seconds max_linger_time{10};
+/// Largest request that is read to its end after a refusal, in bodies of the
+/// largest size.
+constexpr std::size_t max_discarded_bodies = 4;
 /// After this time without bytes, no request is likely to be in transit.
 constexpr std::chrono::milliseconds min_idle_time{400};
 
@@ -80,12 +85,7 @@
 {
     auto const self = shared_from_this();
     if (state_ == state::lingering) {
-        discarded_bytes_ += bytes.size();
-        // A client that is a little above the limit gets its refusal, as it
-        // does not see a reset while it is sending.
-        if (discarded_bytes_ > limits_.max_body_bytes) {
-            close_now();
-        }
+        discard(bytes.size());
         return;
     }
     last_activity_ = monotonic_clock::now();
@@ -99,6 +99,17 @@
     update_reading();
 }
 
+/// Reads on without keeping anything, so that a client that sends all of its
+/// request before it reads gets the refusal and sees no reset.
+void server_connection::discard(std::size_t bytes)
+{
+    last_discarded_ = monotonic_clock::now();
+    discarded_bytes_ += bytes;
+    if (discarded_bytes_ / max_discarded_bodies > limits_.max_body_bytes) {
+        close_now();
+    }
+}
+
 /// Reads the next request from what was read ahead.
 void server_connection::read_further_requests()
 {
@@ -338,7 +349,9 @@
 void server_connection::check_timeouts(time_point now)
 {
     auto const self = shared_from_this();
-    if (state_ == state::lingering && now - last_activity_ > linger_timeout) {
+    if (state_ == state::lingering &&
+        (now - std::max(last_activity_, last_discarded_) > linger_timeout ||
+         now - last_activity_ > max_linger_time)) {
         close_now();
     }
     // While reading is paused, only the kernel knows that a client has left.
--- a/tests/libhttp/read_ahead_test.cpp
+++ b/tests/libhttp/read_ahead_test.cpp
@@ -313,6 +313,26 @@
     BOOST_TEST(client.received_bytes > world.answer_bytes);
 }
 
+// A client that sends its whole request before it reads saw a reset instead of
+// the refusal, and could not know that it must not come back.
+BOOST_AUTO_TEST_CASE(a_client_beyond_the_limit_is_not_told_so)
+{
+    constexpr std::size_t max_body_bytes = 2'000'000;
+    pipelining_world world{calm_budget};
+    world.listener.set_limits({.max_body_bytes = max_body_bytes});
+    world.connect();
+    world.poll();
+    auto& client = *world.clients[0];
+    client.add_requests(1, 7'000'000);
+    for (int round = 0; round < 1000 && !client.to_send.empty(); ++round) {
+        client.send();
+        world.poll();
+    }
+    BOOST_TEST(client.to_send.empty());
+    client.receive();
+    BOOST_TEST(client.received.starts_with("HTTP/1.1 413"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(exceeded_budget_suite)
