Read nothing while a decision about memory is due, and free what is closed

What callers saw: 100 clients that ask the address for peers for the records of a configuration of 4,000 routes at the same moment and do not read took a gateway to 69.1 MB where the machine has 48. Cause: asio handles up to 128 connections in one turn of the event loop, and the check of memory came after them, so that each could add an answer. A connection that was closed kept its unsent bytes until the next tick, so that the decision saw no gain and closed the next one. Ruled out: a check within the functions of a connection, which may close the connection that is at work; a limit on the size of an answer. Change: from when the budget is exceeded until the decision is made, no connection reads. Closing a channel frees its buffers.

--- a/src/libhttp/include/medlarstall/http/http_listener.hpp
+++ b/src/libhttp/include/medlarstall/http/http_listener.hpp
@@ -79,6 +79,7 @@
     void retry_accept_later();
     void request_memory_check();
     void check_memory(time_point now);
+    void decide_memory(time_point now);
     bool make_room(time_point now);
     void set_kernel_limits(byte_channel& channel) const;
     void remove_closed();
--- a/src/libhttp/include/medlarstall/http/memory_account.hpp
+++ b/src/libhttp/include/medlarstall/http/memory_account.hpp
@@ -54,6 +54,15 @@
     /// \return true if more than the budget is held
     [[nodiscard]] bool exceeded() const { return held_ > limit_; }
 
+    /// Notes that the budget was exceeded and that a decision about it is due,
+    /// or that it was made. Until then nothing is read, as many connections may
+    /// be served in one turn of the event loop.
+    /// \param due true if the decision is due
+    void set_decision_due(bool due) { decision_due_ = due; }
+
+    /// \return true if a decision is due
+    [[nodiscard]] bool decision_due() const { return decision_due_; }
+
     /// Tells whether a request may be answered. What is held for it then can be
     /// freed only by the end of its answer.
     /// \param bytes what the request holds
@@ -77,6 +86,7 @@
     std::size_t limit_;
     std::size_t held_ = 0;
     std::size_t answering_ = 0; ///< Of these, for requests being answered.
+    bool decision_due_ = false;
 };
 
 /// The share of one holder in an account. It is returned on destruction.
--- a/src/libhttp/include/medlarstall/http/server_connection.hpp
+++ b/src/libhttp/include/medlarstall/http/server_connection.hpp
@@ -102,6 +102,10 @@
     /// \param now current time
     void resume_request(time_point now);
 
+    /// Reads while there is room for what arrives, whatever has made or taken
+    /// it.
+    void update_reading();
+
     /// Frees the memory: refuses an unfinished request, drops further requests
     /// that were read ahead, or breaks off an answer that is not read.
     void release_memory();
@@ -167,7 +171,6 @@
     void drop_further_requests();
     [[nodiscard]] std::size_t read_limit();
     [[nodiscard]] std::size_t max_read_ahead() const;
-    void update_reading();
     void reject_request();
     void refuse(int status);
     void break_off();
--- a/src/libhttp/src/byte_channel.cpp
+++ b/src/libhttp/src/byte_channel.cpp
@@ -340,6 +340,9 @@
 void byte_channel::close()
 {
     events_ = {};
+    release_text(write_buffer_);
+    write_offset_ = 0;
+    body_.reset();
     std::error_code ignored;
     std::ignore = socket_.close(ignored);
 }
--- a/src/libhttp/src/http_listener.cpp
+++ b/src/libhttp/src/http_listener.cpp
@@ -208,9 +208,18 @@
 
 void http_listener::check_memory(time_point now)
 {
-    if (!account_->exceeded() && waiting_for_memory() == 0) {
-        return;
+    if (account_->exceeded() || waiting_for_memory() > 0) {
+        decide_memory(now);
+    }
+    account_->set_decision_due(false);
+    for (auto const& connection : connections_) {
+        connection->update_reading();
     }
+}
+
+/// Closes and resumes connections as the policy decides.
+void http_listener::decide_memory(time_point now)
+{
     std::vector<std::shared_ptr<server_connection>> const all{
         connections_.begin(), connections_.end()};
     std::vector<memory_holder> holders;
--- a/src/libhttp/src/server_connection.cpp
+++ b/src/libhttp/src/server_connection.cpp
@@ -113,6 +113,10 @@
 /// Reads the next request from what was read ahead.
 void server_connection::read_further_requests()
 {
+    if (held_.account().decision_due()) {
+        read_further_requests_later();
+        return;
+    }
     auto const rest =
         read_part(std::string_view{unparsed_}.substr(parsed_bytes_));
     if (rest.empty()) {
@@ -167,6 +171,9 @@
 /// \return how many bytes may be read now
 std::size_t server_connection::read_limit()
 {
+    if (held_.account().decision_due() && state_ != state::lingering) {
+        return 0;
+    }
     switch (state_) {
     case state::reading:
         pause_for_memory();
@@ -194,7 +201,6 @@
                                             : max_read_bytes;
 }
 
-/// Reads while there is room for what arrives, whatever has made or taken it.
 void server_connection::update_reading()
 {
     if (read_limit() > 0) {
@@ -423,6 +429,7 @@
               channel_->held_bytes() + exchange_bytes_ +
               (channel_->paused() ? channel_->receive_buffer() : 0));
     if (held_.bytes() > before && held_.account().exceeded()) {
+        held_.account().set_decision_due(true);
         check_memory_();
     }
 }
--- a/tests/clients/client_limits.py
+++ b/tests/clients/client_limits.py
@@ -107,9 +107,10 @@
 class Site:
     """One gateway, one backend server and the store."""
 
-    def __init__(self, case, limits):
+    def __init__(self, case, limits, routes=1):
         self.case = case
         self.limits = limits
+        self.routes = routes
         self.store = Store()
         self.gateway = None
         self.runner = None
@@ -126,8 +127,11 @@
                  "pathPrefix": "/order/", "routeType": "unsafe",
                  "timeoutMs": 9000, "targetLatencyMs": 100, "priority": 2,
                  "service": "desk", "maxAttempts": 1, "public": False}
+        routes = [route] + [
+            {**route, "name": f"r-{number}", "pathPrefix": f"/{number}/"}
+            for number in range(1, self.routes)]
         self.store.put_json("keyed.op", "config", harness.configuration(
-            [route], [{"name": "desk", "healthCheckPath": "/healthz",
+            routes, [{"name": "desk", "healthCheckPath": "/healthz",
                        "maxConnections": 500, "protocol": "h1",
                        "tls": False}]))
         self.runner = ImpatientRunner(self.store, case.record, "i-1", "v1",
@@ -161,9 +165,9 @@
         return found
 
 
-async def crowd_case(attack, count, limits, read_s, port, case):
+async def crowd_case(attack, count, limits, read_s, port, routes, case):
     """Plays a crowd of clients that all do the same."""
-    site = Site(case, limits)
+    site = Site(case, limits, routes)
     await site.start()
     site.usage.start()
     crowd = Crowd(case, site.gateway.ip, port)
@@ -200,9 +204,10 @@
 
 
 def crowd_of(attack, count, memory_mb=120, max_fds=3075, read_s=0.5,
-             port=harness.ENTRY):
+             port=harness.ENTRY, routes=1):
     return functools.partial(crowd_case, attack, count,
-                             limits_of(memory_mb, max_fds), read_s, port)
+                             limits_of(memory_mb, max_fds), read_s, port,
+                             routes)
 
 
 CASES = {
@@ -224,6 +229,8 @@
                                  port=harness.DIRECTORY),
     "unread_peer_queries": crowd_of("pipelined_queries", 60, memory_mb=32,
                                     port=harness.PEER),
+    "unread_records": crowd_of("large_query", 100, memory_mb=48,
+                               port=harness.PEER, max_fds=4100, routes=4000),
     "head_sized_bodies": crowd_of("head_sized_bodies", 1650, memory_mb=32,
                                   max_fds=4100),
     "medium_bodies": crowd_of("medium_bodies", 1200, memory_mb=32,
--- a/tests/clients/crowd.py
+++ b/tests/clients/crowd.py
@@ -37,6 +37,7 @@
         self.head = head
         self.tasks = []
         self.sent_all = 0
+        self.connected = 0
         self.ends = collections.Counter()
 
     def start(self, attack, count):
@@ -83,7 +84,7 @@
 
     def never_reading(self):
         return (self.slow_reader, self.pipelined_requests,
-                self.pipelined_queries)
+                self.pipelined_queries, self.large_query)
 
     async def chunked_short_of_end(self, writer):
         await self.send_chunks(writer, MAX_BODY - SHORT_BY)
@@ -152,6 +153,16 @@
             writer.write(b"GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n")
             await writer.drain()
 
+    async def large_query(self, writer):
+        """All ask at the same moment for an answer that is large."""
+        writer.transport.pause_reading()
+        self.connected += 1
+        while self.connected < len(self.tasks):
+            await asyncio.sleep(0.01)
+        writer.write(b"GET /v1/records/configuration HTTP/1.1\r\n"
+                     b"Host: h\r\n\r\n")
+        await writer.drain()
+
     async def one_byte_chunks(self, writer):
         writer.write(self.head(self.case, CHUNKED))
         for _ in range(300):
--- a/tests/libhttp/read_ahead_test.cpp
+++ b/tests/libhttp/read_ahead_test.cpp
@@ -86,6 +86,7 @@
     std::vector<std::unique_ptr<exchange>> exchanges;
     bool answer_at_once = false;
     std::size_t answer_bytes = 0;
+    std::size_t most_held = 0; ///< Seen right after an answer.
     http_listener listener{context,
                            {.request =
                                 [this](auto arrived) {
@@ -129,6 +130,7 @@
         answered->respond({{200, {}, {}},
                            "<" + answered->head().target + ">" +
                                std::string(answer_bytes, filler)});
+        most_held = std::max(most_held, account->held());
     }
 };
 
@@ -384,4 +386,43 @@
     BOOST_TEST(world.exchanges.size() == 2U);
 }
 
+// Many connections are served in one turn of the event loop, and the decision
+// about what they hold came after it.
+BOOST_AUTO_TEST_CASE(answers_of_one_turn_exceed_the_budget_together)
+{
+    constexpr std::size_t budget = 2'000'000;
+    constexpr std::size_t answer_bytes = 8'000'000;
+    pipelining_world world{budget};
+    world.answer_at_once = true;
+    world.answer_bytes = answer_bytes;
+    for (int client = 0; client < 8; ++client) {
+        world.connect();
+    }
+    world.poll();
+    for (auto const& client : world.clients) {
+        client->add_requests(1, 0);
+        client->send();
+    }
+    world.poll();
+    BOOST_TEST(world.most_held < 2 * answer_bytes);
+}
+
+// What a closed connection had not sent was held until the next check.
+BOOST_AUTO_TEST_CASE(a_closed_connection_holds_its_unsent_answer)
+{
+    constexpr std::size_t budget = 1'000'000;
+    pipelining_world world{budget};
+    world.connect();
+    world.poll();
+    world.clients[0]->add_requests(1, 0);
+    world.clients[0]->send();
+    world.poll();
+    BOOST_REQUIRE_EQUAL(world.exchanges.size(), 1U);
+    world.answer_bytes = 8 * budget;
+    world.answer(0);
+    BOOST_TEST(world.account->held() > budget);
+    world.poll();
+    BOOST_TEST(world.account->held() < budget);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
