Read requests of chat completions without holding their JSON values

What callers saw: four valid requests of 4 MB with a key, of which each three bytes are a JSON value, took medlarstalld to 225 MB where the test allows 120; one takes it to 136 MB. Cause: the body was parsed into a tree, once at the daemon that read it and once for the engine, and a value takes up to twenty times its text. Change: the callback of the parser takes the texts of the messages and keeps no value of them; the engine's body is written by the SAX interface of the library as it is parsed, with `stream` and `priority` replaced at the top level.

--- a/src/libdaemon/src/owned_order.cpp
+++ b/src/libdaemon/src/owned_order.cpp
@@ -1,5 +1,6 @@
 #include "owned_order.hpp"
 
+#include "engine_body.hpp"
 #include "metrics.hpp"
 #include "owner_service.hpp"
 
@@ -33,19 +34,6 @@
     return settings;
 }
 
-/// \return the caller's body with "stream" and "priority" set; unchanged if it
-///     is not a JSON object
-std::string engine_body(std::string const& body, unsigned priority)
-{
-    auto document = json::parse(body, nullptr, false);
-    if (!document.is_object()) {
-        return body;
-    }
-    document["stream"] = true;
-    document["priority"] = priority;
-    return document.dump(-1, ' ', false, json::error_handler_t::replace);
-}
-
 std::string base_url(backend_server_info const& server)
 {
     return "http://" + server.address + ":" + std::to_string(server.port);
@@ -140,7 +128,7 @@
         backend::backend_endpoint{server_.id, server_.address, server_.port},
         order_.attempt_id, stream_settings(order_.request.targets));
     if (!suspended_at_) {
-        stream_->start(engine_body(order_.body, action.priority),
+        stream_->start(make_engine_body(order_.body, action.priority),
                        engine_handlers());
     } else if (suspended_at_->id == server_.id) {
         resume_stream(action);
--- a/tests/clients/standalone_limits.py
+++ b/tests/clients/standalone_limits.py
@@ -24,7 +24,7 @@
 
 import harness  # noqa: E402
 import http_wire as wire  # noqa: E402
-from crowd import Crowd  # noqa: E402
+from crowd import MAX_BODY, SHORT_BY, Crowd  # noqa: E402
 from process_usage import ProcessUsage  # noqa: E402
 
 KEY = "key"
@@ -41,13 +41,24 @@
     return (f"POST {path} HTTP/1.1\r\nHost: h\r\n{framing}\r\n\r\n").encode()
 
 
-class PeerCrowd(Crowd):
-    """Clients at the port for other daemons that never tell its secret."""
+class DaemonCrowd(Crowd):
+    """Clients of medlarstalld, without a key but for costly_documents, and
+    without the secret of its port for other daemons."""
 
     def never_reading(self):
         return (*super().never_reading(), self.silent_peers,
                 self.pinging_peers)
 
+    async def costly_documents(self, writer):
+        """Valid requests of which each three bytes are a JSON value."""
+        part_count = (MAX_BODY - SHORT_BY) // 3
+        body = (b'{"model":"m","messages":[{"role":"u","content":['
+                + b"[]," * part_count + b"[]]}]}")
+        writer.write(wire.request(
+            "POST", "/v1/chat/completions",
+            {"Host": "h", "Authorization": f"Bearer {KEY}"}, body))
+        await writer.drain()
+
     async def silent_peers(self, writer):
         writer.write(PREFACE)
         await writer.drain()
@@ -71,9 +82,14 @@
         "groups": {"desks": {
             "owner": "o", "kind": "service", "slots": 64,
             "backend_servers": [{"id": "desk-1", "address": address,
+                                 "port": DESK, "data_centre": "default"}]},
+                   "engines": {
+            "owner": "o", "kind": "engine", "slots": 64,
+            "backend_servers": [{"id": "engine-1", "address": address,
                                  "port": DESK, "data_centre": "default"}]}},
         "services": {"desk": {"owner": "o", "group": "desks",
-                              "repeatable": True}}}
+                              "repeatable": True}},
+        "models": {"m": {"owner": "o", "group": "engines"}}}
 
 
 async def serve_desk(reader, writer):
@@ -163,7 +179,7 @@
     try:
         await daemon.start()
         daemon.usage.start()
-        crowd = PeerCrowd(None, daemon.ip, port, keyless_head)
+        crowd = DaemonCrowd(None, daemon.ip, port, keyless_head)
         crowd.start(attack, count)
         await crowd.settle(8.0)
         await asyncio.sleep(0.5)  # For what the kernel still holds.
@@ -196,6 +212,7 @@
     "head_sized_bodies": crowd_of("head_sized_bodies", 900, memory_mb=32),
     "pipelined_requests": crowd_of("pipelined_requests", 60, memory_mb=32),
     "unread_metrics": crowd_of("pipelined_queries", 60, memory_mb=32),
+    "costly_documents": crowd_of("costly_documents", 4),
     "idle_connections": crowd_of("idle", 400, max_connections=150),
     "silent_peers": crowd_of("silent_peers", 400, memory_mb=32,
                              max_connections=150, port=PEERS),
