--- a/cmake/MedlarstallPackage.cmake
+++ b/cmake/MedlarstallPackage.cmake
@@ -15,7 +15,10 @@
 
 add_library(medlarstall_options INTERFACE)
 target_compile_options(medlarstall_options INTERFACE
-    -Wall -Wextra -Wpedantic -Werror -Wno-missing-field-initializers)
+    -Wall -Wextra -Wpedantic -Wno-missing-field-initializers)
+if(MEDLARSTALL_WARNINGS_AS_ERRORS)
+    target_compile_options(medlarstall_options INTERFACE -Werror)
+endif()
 target_compile_definitions(medlarstall_options INTERFACE
     BOOST_LOG_DYN_LINK BOOST_ALL_NO_LIB ASIO_STANDALONE
     # Whether Asio sees aligned allocation depends on the headers before it, so
