--- a/src/libdaemon/src/service_call.cpp
+++ b/src/libdaemon/src/service_call.cpp
@@ -184,7 +184,7 @@
         std::chrono::duration_cast<std::chrono::microseconds>(
             now - routing_.request().arrived),
         routing_.request().targets.first_token);
-    exchange_->start_stream(event.status, std::move(fields));
+    exchange_->start_stream(event.status, fields);
 }
 
 void service_call::on_event(work_response_data const& event)
--- a/src/libhttp/src/server_connection.cpp
+++ b/src/libhttp/src/server_connection.cpp
@@ -20,7 +20,7 @@
 constexpr std::size_t max_read_bytes = 65536;
 /// The same while memory is scarce, except for a body that has begun.
 constexpr std::size_t scarce_read_bytes = 2048;
-/// A request that holds less is never paused for lack of memory.
+/// An unfinished request that holds less is read on while memory is scarce.
 constexpr std::size_t min_paused_bytes = 65536;
 /// The same once more than the budget is held.
 constexpr std::size_t min_paused_if_exceeded = 4096;
--- a/tests/libhttp/read_ahead_test.cpp
+++ b/tests/libhttp/read_ahead_test.cpp
@@ -123,6 +123,16 @@
         });
     }
 
+    /// Connects a client that sends one request.
+    void send_request(std::size_t body_bytes)
+    {
+        connect();
+        poll();
+        clients.back()->add_requests(1, body_bytes);
+        clients.back()->send();
+        poll();
+    }
+
     void answer(std::size_t at)
     {
         auto const answered = std::move(exchanges[at]);
@@ -345,11 +355,7 @@
 {
     constexpr std::size_t budget = 200000;
     pipelining_world world{budget};
-    world.connect();
-    world.poll();
-    world.clients[0]->add_requests(1, 0);
-    world.clients[0]->send();
-    world.poll();
+    world.send_request(0);
     BOOST_REQUIRE_EQUAL(world.exchanges.size(), 1U);
     world.exchanges[0]->set_held_bytes(2 * budget);
     world.connect();
@@ -371,18 +377,10 @@
 {
     constexpr std::size_t budget = 200000;
     pipelining_world world{budget};
-    world.connect();
-    world.poll();
-    world.clients[0]->add_requests(1, 0);
-    world.clients[0]->send();
-    world.poll();
+    world.send_request(0);
     BOOST_REQUIRE_EQUAL(world.exchanges.size(), 1U);
     world.exchanges[0]->set_held_bytes(2 * budget);
-    world.connect();
-    world.poll();
-    world.clients[1]->add_requests(1, 600);
-    world.clients[1]->send();
-    world.poll();
+    world.send_request(600);
     BOOST_TEST(world.exchanges.size() == 2U);
 }
 
@@ -412,11 +410,7 @@
 {
     constexpr std::size_t budget = 1'000'000;
     pipelining_world world{budget};
-    world.connect();
-    world.poll();
-    world.clients[0]->add_requests(1, 0);
-    world.clients[0]->send();
-    world.poll();
+    world.send_request(0);
     BOOST_REQUIRE_EQUAL(world.exchanges.size(), 1U);
     world.answer_bytes = 8 * budget;
     world.answer(0);
