--- a/src/libduty/include/medlarstall/duty/autoscaling_duty.hpp
+++ b/src/libduty/include/medlarstall/duty/autoscaling_duty.hpp
@@ -13,7 +13,6 @@
 #include <map>
 #include <optional>
 #include <string>
-#include <string_view>
 #include <vector>
 
 namespace medlarstall::duty {
@@ -52,7 +51,7 @@
     /// changes orders.
     /// \param stored orders of the holder before, or empty
     /// \param now current time
-    void on_taken(std::string_view stored, time_point now);
+    void on_taken(stored_state const& stored, time_point now);
 
     /// This daemon is no longer the holder.
     void on_lost();
--- a/src/libduty/include/medlarstall/duty/exclusive_duty.hpp
+++ b/src/libduty/include/medlarstall/duty/exclusive_duty.hpp
@@ -2,12 +2,12 @@
 #define MEDLARSTALL_DUTY_EXCLUSIVE_DUTY_HPP
 
 #include <medlarstall/duty/duty_call.hpp>
+#include <medlarstall/duty/stored_state.hpp>
 #include <medlarstall/support/time.hpp>
 
 #include <concepts>
 #include <cstdint>
 #include <string>
-#include <string_view>
 #include <vector>
 
 namespace medlarstall::duty {
@@ -18,7 +18,7 @@
 /// increases with each change that must be stored before it takes effect.
 template<class Duty>
 concept exclusive_duty =
-    requires(Duty duty, Duty const& constant, std::string_view stored,
+    requires(Duty duty, Duty const& constant, stored_state const& stored,
              time_point now, duty_call const& call, call_outcome outcome,
              std::uint64_t revision) {
         /// \return state to be stored with the next renewal, in the duty's own
@@ -27,7 +27,9 @@
         /// \return revision of that state
         { constant.revision() } -> std::same_as<std::uint64_t>;
         /// This daemon has become the holder; the state is what the holder
-        /// before has stored, or empty. An unreadable state counts as empty.
+        /// before has stored, or empty. An unreadable state counts as empty. A
+        /// state that may have been lost in part tells only what was done at
+        /// least: nothing may be done again that may have been done since.
         duty.on_taken(stored, now);
         /// This daemon is no longer the holder.
         duty.on_lost();
--- a/src/libduty/include/medlarstall/duty/lease_action.hpp
+++ b/src/libduty/include/medlarstall/duty/lease_action.hpp
@@ -58,6 +58,9 @@
     bool was_released = false;   ///< By that holder.
     /// For how long the record had not changed when the lease was taken.
     duration unchanged_for{0};
+    /// Set if later states were lost in a restore of the store: until when
+    /// they may have been stored.
+    std::optional<time_point> states_lost_until;
 };
 
 /// The states of a renewal of this daemon are stored.
--- a/src/libduty/include/medlarstall/duty/lease_policy.hpp
+++ b/src/libduty/include/medlarstall/duty/lease_policy.hpp
@@ -131,6 +131,8 @@
         lease_record record;
         bool was_released = false; ///< Of a write that takes the lease.
         duration unchanged_for{0}; ///< The same.
+        /// The same; as in became_holder.
+        std::optional<time_point> states_lost_until;
     };
 
     enum class store_call
@@ -157,8 +159,10 @@
     [[nodiscard]] bool read_is_due(time_point now) const;
     [[nodiscard]] bool own_record_is_left() const;
     [[nodiscard]] bool is_restored() const;
+    [[nodiscard]] std::optional<time_point> states_lost_until() const;
     [[nodiscard]] duration place_delay() const;
     [[nodiscard]] fencing_token next_token() const;
+    [[nodiscard]] fencing_token lost_tokens() const;
     [[nodiscard]] lease_action begin_read(time_point now);
     [[nodiscard]] lease_action begin_append(lease_record record,
                                             bool is_renewal, time_point now);
@@ -174,6 +178,9 @@
     /// The topic as last read or written, and since when it has been so.
     std::optional<lease_topic> topic_;
     time_point unchanged_since_;
+    /// When the present era of the store was first seen. No state of an earlier
+    /// era was stored after that.
+    time_point era_seen_at_;
     bool topic_has_grown_ = false; ///< A conflict has shown that since.
     std::vector<open_write> open_writes_;
     std::uint64_t writes_ = 0; ///< Number of the last write.
--- a/src/libduty/include/medlarstall/duty/lease_record.hpp
+++ b/src/libduty/include/medlarstall/duty/lease_record.hpp
@@ -30,6 +30,10 @@
     bool released = false; ///< The holder makes no further calls.
     /// Era of the store for which the record was written.
     std::uint64_t era = 0;
+    /// Era in which a holder has stored the states itself. Earlier than era
+    /// while a holder has only taken over the states of a restored record; 0 if
+    /// unknown.
+    std::uint64_t states_era = 0;
     duty_states states;
 
     bool operator==(lease_record const&) const = default;
--- a/src/libduty/include/medlarstall/duty/scale_orders.hpp
+++ b/src/libduty/include/medlarstall/duty/scale_orders.hpp
@@ -59,6 +59,11 @@
     /// \param now current time
     void decode(std::string_view stored, time_point now);
 
+    /// Called after decode() if later orders may have been stored and lost.
+    /// The last accepted number of each subject is sent again. Until that is
+    /// accepted, the platform may hold any number.
+    void doubt_all();
+
     /// Notes what the servers of a service cost before the first order. Later
     /// calls for the same service have no effect.
     /// \param service name of the service
--- a/src/libduty/include/medlarstall/duty/usage_duty.hpp
+++ b/src/libduty/include/medlarstall/duty/usage_duty.hpp
@@ -11,7 +11,6 @@
 #include <cstdint>
 #include <map>
 #include <string>
-#include <string_view>
 #include <vector>
 
 namespace medlarstall::duty {
@@ -30,6 +29,9 @@
         std::uint64_t failed = 0;     ///< Sends that were not accepted.
         std::uint64_t given_up = 0;   ///< Reports that became too old.
         std::uint64_t unreadable = 0; ///< Stored states that were unreadable.
+        /// Windows that were left out, as they may have been reported by a
+        /// holder whose state was lost.
+        std::uint64_t left_out = 0;
     };
 
     /// \param ledger counts of the fleet; outlives this object
@@ -54,7 +56,7 @@
     /// The functions of exclusive_duty.
     [[nodiscard]] std::string state() const;
     [[nodiscard]] std::uint64_t revision() const { return revision_; }
-    void on_taken(std::string_view stored, time_point now);
+    void on_taken(stored_state const& stored, time_point now);
     void on_lost();
     void on_stored(std::uint64_t revision);
     [[nodiscard]] std::vector<duty_call> due_calls(time_point now);
@@ -79,6 +81,7 @@
     std::uint64_t windows_in(std::chrono::milliseconds span) const;
     std::uint64_t oldest_reported(time_point now) const;
     std::uint64_t latest_closed(time_point now) const;
+    std::uint64_t possibly_closed(time_point lost_until) const;
     std::uint64_t first_window(std::uint64_t end) const;
     void close_windows(time_point now);
     void give_up_old(time_point now);
--- a/src/libduty/include/medlarstall/duty/usage_settings.hpp
+++ b/src/libduty/include/medlarstall/duty/usage_settings.hpp
@@ -16,6 +16,9 @@
     /// are told within 0.2 s, and all rows once a second, so that one lost
     /// update does no harm.
     std::chrono::milliseconds close_delay{2000};
+    /// The times of day of two daemons differ by less. Shorter than
+    /// close_delay.
+    std::chrono::milliseconds max_clock_difference{1000};
     /// Time for which a new holder collects rows before it fixes a window: that
     /// of one full round of rows.
     std::chrono::milliseconds settle_time{1200};
--- a/src/libduty/src/autoscaling_duty.cpp
+++ b/src/libduty/src/autoscaling_duty.cpp
@@ -72,10 +72,13 @@
 
 } // namespace
 
-void autoscaling_duty::on_taken(std::string_view stored, time_point now)
+void autoscaling_duty::on_taken(stored_state const& stored, time_point now)
 {
     on_lost();
-    orders_.decode(stored, now);
+    orders_.decode(stored.bytes, now);
+    if (stored.lost_until) {
+        orders_.doubt_all();
+    }
     taken_at_ = now;
 }
 
--- a/src/libduty/src/lease_policy.cpp
+++ b/src/libduty/src/lease_policy.cpp
@@ -18,6 +18,8 @@
 /// may lack the records of that many holders.
 constexpr fencing_token restore_step = 1'000'000;
 constexpr fencing_token max_token_step = 1'000'000;
+/// Bounds the tokens that are left out if the era of the store is implausible.
+constexpr std::uint64_t max_restores = 1'000'000;
 /// Writes without a response that are remembered. Older ones are not
 /// recognised, which costs a new token if one of them is executed.
 constexpr std::size_t max_open_writes = 64;
@@ -166,7 +168,7 @@
     holding_ = std::move(taken);
     findings_.emplace_back(became_holder{
         done.record.token, done.record.states, done.record.previous_holder,
-        done.was_released, done.unchanged_for});
+        done.was_released, done.unchanged_for, done.states_lost_until});
 }
 
 void lease_policy::lose(loss_reason reason, time_point now)
@@ -186,8 +188,11 @@
 
 void lease_policy::note_topic(lease_topic const& topic, time_point now)
 {
-    auto const changed =
-        !topic_ || topic_->end != topic.end || topic_->era != topic.era;
+    auto const is_new_era = !topic_ || topic_->era != topic.era;
+    auto const changed = is_new_era || topic_->end != topic.end;
+    if (is_new_era) {
+        era_seen_at_ = now;
+    }
     topic_ = topic;
     topic_has_grown_ = false;
     if (changed) {
@@ -387,7 +392,20 @@
     // than the end of the partition, but for those after a restore.
     auto const before =
         std::max(record ? record->token : topic_->end, highest_token_);
-    return before + token_step_ + (is_restored() ? restore_step : 0);
+    return before + token_step_ + lost_tokens();
+}
+
+/// \return number of tokens that may have been used and are lost with the
+///     records of an earlier era
+fencing_token lease_policy::lost_tokens() const
+{
+    if (topic_->record) {
+        return is_restored() ? restore_step : 0;
+    }
+    // Nothing tells after which token the copy was made. The eras differ.
+    constexpr std::uint64_t first_era = 1;
+    auto const restores = std::max(topic_->era, first_era) - first_era;
+    return restore_step * std::min(restores, max_restores);
 }
 
 /// \return true if the record was written before the store was restored from
@@ -397,6 +415,15 @@
     return topic_->record && topic_->record->era != topic_->era;
 }
 
+/// \return set if the states of the record may be older than the last ones
+///     that were stored; a record may also be missing in a copy
+std::optional<time_point> lease_policy::states_lost_until() const
+{
+    auto const& record = topic_->record;
+    auto const are_current = record && record->states_era == topic_->era;
+    return are_current ? std::nullopt : std::optional{era_seen_at_};
+}
+
 lease_action lease_policy::begin_read(time_point now)
 {
     call_ = store_call::read;
@@ -428,11 +455,13 @@
     if (topic_->record) {
         record.previous_holder = topic_->record->holder;
         record.states = topic_->record->states;
+        record.states_era = topic_->record->states_era;
     }
     auto action = begin_append(std::move(record), false, now);
     auto& write = open_writes_.back();
     write.was_released = topic_->record && topic_->record->released;
     write.unchanged_for = now - unchanged_since_;
+    write.states_lost_until = states_lost_until();
     return action;
 }
 
@@ -446,6 +475,7 @@
     record.held =
         std::chrono::duration_cast<milliseconds>(now - holding_->taken_at);
     record.released = release_requested_;
+    record.states_era = topic_->era;
     // Keeps the states of duties that only another version knows.
     record.states = states;
     if (topic_->record) {
--- a/src/libduty/src/lease_record.cpp
+++ b/src/libduty/src/lease_record.cpp
@@ -52,6 +52,11 @@
         value.value("d", std::int64_t{0}), 0, max_held_ms)};
     record.released = value.value("r", false);
     record.era = value.value("e", std::uint64_t{0});
+    // Older versions do not write this field. Their first write repeats the
+    // states of the record before, and later ones hold their own.
+    auto const has_own_states = record.held > milliseconds{0};
+    record.states_era =
+        value.value("se", has_own_states ? record.era : std::uint64_t{0});
     record.states = states_from_json(value.value("s", json::object()));
     return record;
 }
@@ -68,7 +73,7 @@
                      {"i", record.incarnation},     {"w", record.write},
                      {"p", record.previous_holder}, {"d", record.held.count()},
                      {"r", record.released},        {"e", record.era},
-                     {"s", std::move(states)}};
+                     {"se", record.states_era},     {"s", std::move(states)}};
     std::string bytes;
     json::to_cbor(value, bytes);
     return bytes;
--- a/src/libduty/src/scale_orders.cpp
+++ b/src/libduty/src/scale_orders.cpp
@@ -121,6 +121,17 @@
     }
 }
 
+void scale_orders::doubt_all()
+{
+    for (auto& [subject, order] : orders_) {
+        order.count = order.accepted;
+        order.is_settled = false;
+        order.is_uncertain = true;
+        order.is_unanswered = true;
+        order.most = max_count;
+    }
+}
+
 void scale_orders::set_first_price(std::string const& service, double price)
 {
     if (price > 0 && first_prices_.try_emplace(service, price).second) {
--- a/src/libduty/src/usage_duty.cpp
+++ b/src/libduty/src/usage_duty.cpp
@@ -40,6 +40,16 @@
     return settings_.window_at(time_.at(now) + settings_.max_report_age);
 }
 
+/// \param lost_until time after which no holder has stored a state that was
+///     lost
+/// \return windows before this one may have been fixed and reported by a holder
+///     whose state was lost
+std::uint64_t usage_duty::possibly_closed(time_point lost_until) const
+{
+    return settings_.window_at(time_.at(lost_until) - settings_.close_delay +
+                               settings_.max_clock_difference);
+}
+
 /// A wrong number must not keep windows from being reported, so that one of the
 /// future is ignored.
 void usage_duty::on_told_closed(std::uint64_t window, time_point now)
@@ -64,14 +74,14 @@
     return encode(state);
 }
 
-void usage_duty::on_taken(std::string_view stored, time_point now)
+void usage_duty::on_taken(stored_state const& stored, time_point now)
 {
     holds_ = true;
     taken_at_ = now;
     reports_.clear();
     usage_state state;
-    if (!stored.empty()) {
-        auto read = decode_usage_state(stored);
+    if (!stored.bytes.empty()) {
+        auto read = decode_usage_state(stored.bytes);
         if (failed(read) || value_of(read).closed_before > latest_closed(now)) {
             ++statistics_.unreadable;
         } else {
@@ -80,6 +90,13 @@
     }
     stored_closed_before_ =
         std::max(stored_closed_before_, state.closed_before);
+    if (stored.lost_until) {
+        auto const open_from = possibly_closed(*stored.lost_until);
+        if (stored_closed_before_ != 0 && open_from > stored_closed_before_) {
+            statistics_.left_out += open_from - stored_closed_before_;
+        }
+        stored_closed_before_ = std::max(stored_closed_before_, open_from);
+    }
     closed_before_ = stored_closed_before_;
     for (auto& [window, counts] : state.fixed) {
         report item;
--- a/src/libgateway/include/medlarstall/gateway/duty_handle.hpp
+++ b/src/libgateway/include/medlarstall/gateway/duty_handle.hpp
@@ -6,7 +6,6 @@
 #include <cstdint>
 #include <functional>
 #include <string>
-#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -19,7 +18,7 @@
     std::string name; ///< Key of its state in the lease record.
     std::function<std::string()> state;
     std::function<std::uint64_t()> revision;
-    std::function<void(std::string_view, time_point)> on_taken;
+    std::function<void(duty::stored_state const&, time_point)> on_taken;
     std::function<void()> on_lost;
     std::function<void(std::uint64_t)> on_stored;
     std::function<std::vector<duty::duty_call>(time_point)> due_calls;
@@ -36,7 +35,7 @@
     return {std::move(name),
             [&target] { return target.state(); },
             [&target] { return target.revision(); },
-            [&target](std::string_view stored, time_point now) {
+            [&target](duty::stored_state const& stored, time_point now) {
                 target.on_taken(stored, now);
             },
             [&target] { target.on_lost(); },
--- a/src/libgateway/src/duty_service.cpp
+++ b/src/libgateway/src/duty_service.cpp
@@ -342,6 +342,7 @@
         .with("previous", action.previous_holder)
         .with("released", action.was_released ? "yes" : "no")
         .with("unchanged", action.unchanged_for)
+        .with("states_current", action.states_lost_until ? "no" : "yes")
         .with("states", action.states.size());
     unanswered_since_.reset();
     unanswered_ = 0;
@@ -349,9 +350,11 @@
     for (auto& duty : duties_) {
         auto const stored = action.states.find(duty.functions.name);
         duty.stored_revision.reset();
-        duty.functions.on_taken(stored == action.states.end() ? ""
-                                                              : stored->second,
-                                context_.now());
+        duty::stored_state state{{}, action.states_lost_until};
+        if (stored != action.states.end()) {
+            state.bytes = stored->second;
+        }
+        duty.functions.on_taken(state, context_.now());
     }
 }
 
--- a/src/libgateway/src/gateway_usage.cpp
+++ b/src/libgateway/src/gateway_usage.cpp
@@ -210,6 +210,7 @@
     set("usage_reports_accepted", reports.accepted);
     set("usage_reports_failed", reports.failed);
     set("usage_reports_given_up", reports.given_up);
+    set("usage_windows_left_out", reports.left_out);
     set("usage_reports_waiting", usage_->duty().waiting());
     set("clocks_known", usage_->time().clock_count());
     std::chrono::duration<double> const ahead = usage_->time().own_deviation();
--- a/tests/libduty/autoscaling_simulation.hpp
+++ b/tests/libduty/autoscaling_simulation.hpp
@@ -53,7 +53,7 @@
                 servers_.push_back({data_centre, false});
             }
         }
-        duty_.on_taken("", time());
+        duty_.on_taken({}, time());
     }
 
     /// Runs until a point in time.
@@ -81,7 +81,7 @@
     void change_holder()
     {
         duty_ = autoscaling_duty{};
-        duty_.on_taken(stored_, time());
+        duty_.on_taken({stored_, {}}, time());
         answers_.clear();
     }
 
--- a/tests/libduty/lease_record_test.cpp
+++ b/tests/libduty/lease_record_test.cpp
@@ -10,6 +10,7 @@
 
 #include <chrono>
 #include <string>
+#include <utility>
 
 using namespace medlarstall;
 using namespace std::chrono_literals;
@@ -27,6 +28,7 @@
     record.held = 8500ms;
     record.released = true;
     record.era = 2;
+    record.states_era = 1;
     record.states = {{"usage_report", std::string{"\x00\xff{", 3}}, {"x", ""}};
     return record;
 }
@@ -62,6 +64,18 @@
     BOOST_TEST((value_of(read) == expected));
 }
 
+// The first write of a holder of an older version repeats states that may be
+// those of a copy of the store.
+BOOST_AUTO_TEST_CASE(the_era_of_the_states_of_an_older_version_is_derived)
+{
+    for (auto const& [held_ms, era] : {std::pair{0, 0U}, std::pair{900, 4U}}) {
+        auto const read = duty::decode_lease_record(
+            cbor({{"t", 3}, {"h", "edge-1"}, {"e", 4}, {"d", held_ms}}));
+        BOOST_REQUIRE(!failed(read));
+        BOOST_TEST(value_of(read).states_era == era);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(invalid_records_are_rejected)
 {
     for (auto const& value : std::vector<nlohmann::json>{
--- a/tests/libduty/scale_orders_test.cpp
+++ b/tests/libduty/scale_orders_test.cpp
@@ -56,6 +56,27 @@
     BOOST_TEST(take_after(1s).empty()); // Its result is not known.
 }
 
+// After a restore of the store the platform may hold other numbers than those
+// of the copy, so that both kinds together could exceed the limit.
+BOOST_AUTO_TEST_CASE(orders_of_a_restored_state_are_taken_for_the_last_ones)
+{
+    order(regular, 5);
+    orders.on_result(take_after(1s).at(0), call_outcome::accepted, now);
+    order(reclaimable, 7);
+    orders.on_result(take_after(1s).at(0), call_outcome::accepted, now);
+    auto const copy = orders.encode();
+    orders.decode(copy, now);
+    orders.doubt_all();
+    order(reclaimable, 9); // The platform may hold up to 60 regular servers.
+    auto const first = take_after(1s);
+    BOOST_REQUIRE(first.size() == 1U);
+    BOOST_TEST(!first.at(0).reclaimable);
+    BOOST_TEST(first.at(0).count == 5U);
+    BOOST_TEST(take_after(1s).empty());
+    orders.on_result(first.at(0), call_outcome::accepted, now);
+    BOOST_TEST(take_after(1s).at(0).count == 9U);
+}
+
 // Guards against loss of what was ordered, of its outcome and of the price
 // limit at a change of the holder.
 BOOST_AUTO_TEST_CASE(stored_orders_are_read_again)
--- a/tests/libduty/usage_simulation_test.cpp
+++ b/tests/libduty/usage_simulation_test.cpp
@@ -68,6 +68,8 @@
     std::vector<datagram> underway;
     std::optional<std::size_t> holder;
     std::string stored;
+    /// Set while what is stored may be an older state.
+    std::optional<time_point> lost_until;
     time_point next_renewal;
     time_point retry_renewal;
     std::uint64_t stored_revision = 0; ///< As acknowledged.
@@ -113,7 +115,7 @@
     void take(std::size_t at)
     {
         holder = at;
-        daemons[at].reporter->duty().on_taken(stored, now);
+        daemons[at].reporter->duty().on_taken({stored, lost_until}, now);
     }
 
     void hand_over(std::size_t to)
@@ -205,6 +207,7 @@
             next_renewal = now + 1s;
             retry_renewal = now + 500ms;
             stored = duty.state();
+            lost_until.reset();
             if (chance(0.9)) { // Otherwise the response is lost.
                 duty.on_stored(revision);
                 stored_revision = revision;
@@ -421,6 +424,54 @@
     world.check(0, 30s);
 }
 
+// A copy of the store holds windows as open that were fixed and reported after
+// it was made.
+BOOST_AUTO_TEST_CASE(windows_of_a_restored_state_are_reported_again)
+{
+    enum class trouble
+    {
+        all_killed,
+        holder_killed,
+        none
+    };
+    constexpr std::size_t count = 5;
+    constexpr std::size_t max_left_out = 3;
+    for (auto const what :
+         {trouble::all_killed, trouble::holder_killed, trouble::none}) {
+        for (unsigned seed = 0; seed < 12; ++seed) {
+            usage_world world{seed, count};
+            world.daemons[seed % count].clock_error = 400ms;
+            world.run(milliseconds{20000 + world.random() % 5000});
+            auto const copy = world.stored;
+            world.run(milliseconds{500 + world.random() % 6000});
+            auto const before = *world.holder;
+            for (std::size_t at = 0; at < count; ++at) {
+                if (what == trouble::all_killed ||
+                    (what == trouble::holder_killed && at == before)) {
+                    world.kill(at);
+                    world.launch(at);
+                }
+            }
+            if (what == trouble::all_killed) {
+                world.underway.clear(); // Nobody was there to receive them.
+            }
+            if (world.holder) {
+                world.daemons[before].reporter->duty().on_lost();
+                world.holder.reset();
+            }
+            world.stored = copy;
+            world.lost_until = world.now;
+            world.run(3500ms);
+            world.take((before + seed) % count);
+            world.run(20s);
+            BOOST_TEST(world.changed_contents == 0);
+            auto const end = world.settings.window_at(world.wall - 10s);
+            auto const all = end - world.settings.window_at(start);
+            BOOST_TEST(world.reported.size() + max_left_out >= all);
+        }
+    }
+}
+
 // Rows of a window that is fixed change nothing that was or will be sent.
 BOOST_AUTO_TEST_CASE(late_rows_do_not_change_a_fixed_window)
 {
@@ -449,7 +500,7 @@
     now += 7200ms; // The window may be fixed.
     counting.tick(start + 7200ms, now);
     holder.tick(start + 7200ms, now);
-    holder.duty().on_taken("", now);
+    holder.duty().on_taken({}, now);
     BOOST_TEST(holder.duty().due_calls(now).empty());
     BOOST_TEST(holder.duty().revision() == 0U);
     holder.on_collected_rows(counting.collected_rows(now));
--- a/tests/libgateway/duty_simulation.cpp
+++ b/tests/libgateway/duty_simulation.cpp
@@ -38,10 +38,14 @@
       violated_{std::move(violated)}
 {}
 
-void counting_duty::on_taken(std::string_view stored, time_point now)
+void counting_duty::on_taken(duty::stored_state const& stored, time_point now)
 {
     number_ = 0;
-    std::from_chars(stored.data(), stored.data() + stored.size(), number_);
+    auto const& bytes = stored.bytes;
+    std::from_chars(bytes.data(), bytes.data() + bytes.size(), number_);
+    if (stored.lost_until) {
+        number_ = std::max(number_, stored_by_any_); // None is used again.
+    }
     stored_ = reported_ = number_;
     is_held_ = true;
     calling_ = false;
@@ -271,7 +275,7 @@
         schedule(takes / 2, [this, reply, takes] {
             gateway::record_page page;
             page.next_offset = end_;
-            page.era = 1;
+            page.era = era_;
             if (lease_) {
                 page.records.push_back({"lease", lease_, end_ - 1});
             }
@@ -316,7 +320,8 @@
         if (at == end_) {
             ++end_;
             lease_ = item.value;
-            outcome = {append_status::accepted, {1, end_}};
+            keep_copy();
+            outcome = {append_status::accepted, {era_, end_}};
         }
         if (!is_lost) {
             schedule(takes / 2, [reply, outcome] { reply(outcome); });
@@ -504,6 +509,9 @@
     case duty_fault::cut_off_from_platform:
         ++item.no_platform;
         break;
+    case duty_fault::store_restored:
+        restore_store();
+        break;
     case duty_fault::all_killed:
         for (auto const& each : machines_) {
             each->runs = false;
@@ -521,6 +529,28 @@
     schedule(length, [this, what, target] { end_fault(what, target); });
 }
 
+void duty_simulation::keep_copy()
+{
+    constexpr auto longest = 8000ms;
+    copies_.push_back({now_, lease_, end_});
+    while (copies_.size() > 1 && copies_[1].from < now_ - longest) {
+        copies_.pop_front();
+    }
+}
+
+/// The store comes back as it was some seconds ago. What was written since is
+/// lost, and its offsets are assigned again.
+void duty_simulation::restore_store()
+{
+    auto const at = now_ - between(500, 6000);
+    while (!copies_.empty() && copies_.back().from > at) {
+        copies_.pop_back();
+    }
+    lease_ = copies_.empty() ? std::nullopt : copies_.back().lease;
+    end_ = copies_.empty() ? 0 : copies_.back().end;
+    ++era_;
+}
+
 void duty_simulation::end_fault(duty_fault what, std::size_t target)
 {
     auto& item = *machines_[target];
--- a/tests/libgateway/duty_simulation.hpp
+++ b/tests/libgateway/duty_simulation.hpp
@@ -36,7 +36,8 @@
     calls_late, ///< Calls are executed seconds later.
     all_killed,
     wall_clocks_moved,
-    count ///< Number of the faults above.
+    store_restored, ///< From a copy that is some seconds old.
+    count           ///< Number of the faults above.
 };
 
 /// A duty whose state is a number that grows. Each number is reported when it
@@ -46,14 +47,15 @@
 public:
     /// \param interval time between two changes of the number
     /// \param violated called if a state is taken over that lacks numbers that
-    ///     were stored
+    ///     were stored, as if it were the last one
     counting_duty(std::chrono::milliseconds interval,
                   std::uint64_t& stored_by_any,
                   std::function<void(std::string const&)> violated);
 
     [[nodiscard]] std::string state() const { return std::to_string(number_); }
     [[nodiscard]] std::uint64_t revision() const { return number_; }
-    void on_taken(std::string_view stored, medlarstall::time_point now);
+    void on_taken(medlarstall::duty::stored_state const& stored,
+                  medlarstall::time_point now);
     void on_lost() { is_held_ = false; }
     void on_stored(std::uint64_t revision);
     std::vector<medlarstall::duty::duty_call>
@@ -142,6 +144,13 @@
         std::size_t machine;
         medlarstall::duty::fencing_token token;
     };
+    /// The store as it was from a time on.
+    struct store_copy
+    {
+        medlarstall::time_point from;
+        std::optional<std::string> lease;
+        std::uint64_t end;
+    };
     struct event
     {
         medlarstall::time_point at;
@@ -161,6 +170,8 @@
     void deliver(std::size_t index, std::uint64_t life,
                  std::function<void()> action);
     void end_fault(duty_fault what, std::size_t target);
+    void keep_copy();
+    void restore_store();
     void start_read(std::size_t index, medlarstall::gateway::read_handler done);
     void start_append(std::size_t index,
                       medlarstall::gateway::record const& item,
@@ -193,6 +204,8 @@
     medlarstall::time_point active_at_; ///< When a machine could act last.
     std::optional<std::string> lease_;  ///< Record in the store.
     std::uint64_t end_ = 0;
+    std::uint64_t era_ = 1;
+    std::deque<store_copy> copies_; ///< Of the last seconds, oldest first.
     std::uint64_t stored_by_any_ = 0;
     std::deque<call> recent_calls_;
     std::map<medlarstall::duty::fencing_token, std::size_t> token_owners_;
--- a/tests/libgateway/restored_store_test.cpp
+++ b/tests/libgateway/restored_store_test.cpp
@@ -6,7 +6,15 @@
 #include <boost/test/unit_test.hpp>
 #include <nlohmann/json.hpp>
 
+#include <asio/post.hpp>
+
 #include <algorithm>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <variant>
 
 using namespace medlarstall;
 using namespace std::chrono_literals;
@@ -65,10 +73,87 @@
     }
 };
 
+/// Gateways that report windows of 1 s to a platform that accepts all reports.
+struct reporting_fleet : gateway_fixture
+{
+    using window_reports =
+        std::map<std::uint64_t, std::set<duty::organisation_counts>>;
+
+    window_reports accepted; ///< Different contents of each window.
+    int sent = 0;
+
+    reporting_fleet() : gateway_fixture{1}
+    {
+        has_own_contexts = true;
+        duties = gateway::duty_settings{};
+        duties->reports_usage = true;
+        duties->lease = 1500ms;
+        duties->report_window = 1s;
+        call_duty = [this](duty::duty_call const& call, auto const&, auto,
+                           auto done) {
+            auto const& report = std::get<duty::usage_report>(call);
+            accepted[report.window].insert(report.counts);
+            asio::post(context,
+                       [done] { done(gateway::duty_response::accepted); });
+        };
+        write_configuration(1);
+        start_gateways();
+    }
+
+    void start_gateways()
+    {
+        add_gateways(3);
+        for (std::size_t at = 0; at < 3; ++at) {
+            BOOST_REQUIRE(wait_until_ready(at));
+        }
+    }
+
+    /// \return last window that was reported
+    std::uint64_t last_reported() const
+    {
+        return accepted.empty() ? 0 : accepted.rbegin()->first;
+    }
+
+    /// Sends requests until a condition holds, or for 20 s.
+    bool send_until(std::function<bool()> const& holds)
+    {
+        auto const end = std::chrono::steady_clock::now() + 20s;
+        while (!holds() && std::chrono::steady_clock::now() < end) {
+            auto const id = "n" + std::to_string(++sent);
+            send_and_wait(0, "POST", "/once/a", id);
+            run_for(20ms);
+        }
+        return holds();
+    }
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(restored_store_suite)
 
+// A copy of the lease holds a window as open that was fixed and reported after
+// the copy was made. The next holder fixed it again, from other counts.
+BOOST_AUTO_TEST_CASE(a_window_is_reported_again_after_a_restore)
+{
+    reporting_fleet world;
+    BOOST_REQUIRE(world.send_until([&] { return world.accepted.size() >= 2; }));
+    world.store.take_copy();
+    auto const before = world.last_reported();
+    BOOST_REQUIRE(
+        world.send_until([&] { return world.last_reported() >= before + 4; }));
+    world.kill_gateways();
+    world.store.return_from_copy();
+    world.first_start = false;
+    auto const reported = world.last_reported();
+    world.start_gateways();
+    BOOST_TEST(
+        world.send_until([&] { return world.last_reported() > reported + 2; }));
+    for (auto const& [window, contents] : world.accepted) {
+        BOOST_TEST_CONTEXT("window " << window)
+        BOOST_TEST(contents.size() == 1U);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(changes_after_a_restore_apply_at_once)
 {
     ready_gateway_fixture world{1};
