--- a/src/libhttp/include/medlarstall/http/message.hpp
+++ b/src/libhttp/include/medlarstall/http/message.hpp
@@ -52,6 +52,11 @@
 [[nodiscard]] std::string_view query_value(std::string_view target,
                                            std::string_view name);
 
+/// Escapes a value for a query (RFC 3986, percent-encoding).
+/// \param value any bytes
+/// \return the value with all bytes escaped but letters, digits and "-._~"
+[[nodiscard]] std::string escape_query_value(std::string_view value);
+
 /// Looks up a query parameter that is an unsigned decimal number.
 /// \param target path and query of a request
 /// \param name name of the parameter, case-sensitive
--- a/src/libhttp/src/header_list.cpp
+++ b/src/libhttp/src/header_list.cpp
@@ -19,6 +19,12 @@
     std::string_view{"proxy-connection"},    std::string_view{"upgrade"},
     std::string_view{"transfer-encoding"}};
 
+/// \return true if a character would end a field, or is none
+bool ends_field(char character)
+{
+    return character == '\r' || character == '\n' || character == '\0';
+}
+
 char to_lower(char character)
 {
     return static_cast<char>(
@@ -111,7 +117,13 @@
 void header_list::append_to(std::string& text) const
 {
     for (auto const& field : entries_) {
-        text.append(field.name).append(": ").append(field.value).append("\r\n");
+        text.append(field.name).append(": ");
+        auto const begin = text.size();
+        text.append(field.value);
+        // A value of another program must not end its field.
+        std::replace_if(text.begin() + static_cast<std::ptrdiff_t>(begin),
+                        text.end(), ends_field, ' ');
+        text.append("\r\n");
     }
 }
 
--- a/src/libhttp/src/message.cpp
+++ b/src/libhttp/src/message.cpp
@@ -9,6 +9,49 @@
 
 namespace medlarstall::http {
 
+namespace {
+
+/// \return true if a byte stands for itself everywhere in a target
+bool is_unreserved(unsigned char byte)
+{
+    constexpr std::string_view marks = "-._~";
+    return (byte >= '0' && byte <= '9') || (byte >= 'a' && byte <= 'z') ||
+           (byte >= 'A' && byte <= 'Z') ||
+           marks.find(static_cast<char>(byte)) != std::string_view::npos;
+}
+
+/// \return true unless a byte would end the target of a request
+bool is_in_target(unsigned char byte)
+{
+    constexpr unsigned char blank = 0x20;
+    constexpr unsigned char delete_character = 0x7f;
+    return byte > blank && byte != delete_character;
+}
+
+/// Escapes the bytes of a text that a function does not accept.
+template<class Accept>
+std::string escape(std::string_view text, Accept const& accept)
+{
+    constexpr std::string_view digits = "0123456789ABCDEF";
+    constexpr unsigned digit_bits = 4;
+    constexpr unsigned digit_mask = 0xf;
+    std::string escaped;
+    escaped.reserve(text.size());
+    for (auto const character : text) {
+        auto const byte = static_cast<unsigned char>(character);
+        if (accept(byte)) {
+            escaped += character;
+        } else {
+            escaped += '%';
+            escaped += digits[byte >> digit_bits];
+            escaped += digits[byte & digit_mask];
+        }
+    }
+    return escaped;
+}
+
+} // namespace
+
 std::string_view path_of(std::string_view target)
 {
     return target.substr(0, target.find('?'));
@@ -30,6 +73,11 @@
     return {};
 }
 
+std::string escape_query_value(std::string_view value)
+{
+    return escape(value, is_unreserved);
+}
+
 std::uint64_t query_number(std::string_view target, std::string_view name)
 {
     auto const text = query_value(target, name);
@@ -50,7 +98,10 @@
 
 std::string serialize_request_head(request_head const& head, std::size_t length)
 {
-    std::string text = head.method + ' ' + head.target + " HTTP/1.1\r\n";
+    // A target may hold a value of another program, such as a path of the
+    // configuration.
+    std::string text =
+        head.method + ' ' + escape(head.target, is_in_target) + " HTTP/1.1\r\n";
     head.headers.append_to(text);
     auto const body_optional = head.method == "GET" || head.method == "HEAD" ||
                                head.method == "DELETE";
--- a/src/libplatform/src/http_platform.cpp
+++ b/src/libplatform/src/http_platform.cpp
@@ -2,6 +2,7 @@
 
 #include "platform_call.hpp"
 
+#include <medlarstall/http/message.hpp>
 #include <medlarstall/support/result.hpp>
 
 #include <asio/io_context.hpp>
@@ -158,9 +159,14 @@
     return error{"instances", describe(outcome)};
 }
 
+std::string instance_path(std::string const& id)
+{
+    return "/instances/" + http::escape_query_value(id);
+}
+
 std::string records_path(std::string const& log)
 {
-    return "/logs/" + log + "/records";
+    return "/logs/" + http::escape_query_value(log) + "/records";
 }
 
 } // namespace
@@ -317,7 +323,7 @@
         body["lease_ms"] = lease->count();
     }
     parts_->perform({.method = "PUT",
-                     .path = "/instances/" + registered.id,
+                     .path = instance_path(registered.id),
                      .body = body.dump()},
                     read_status, std::move(on_done));
 }
@@ -325,7 +331,7 @@
 void http_platform::remove_instance(std::string const& id,
                                     change_callback on_done)
 {
-    parts_->perform({.method = "DELETE", .path = "/instances/" + id},
+    parts_->perform({.method = "DELETE", .path = instance_path(id)},
                     read_status, std::move(on_done));
 }
 
@@ -333,7 +339,8 @@
                                  std::string const& version,
                                  weight_callback on_done)
 {
-    parts_->perform({.path = "/weights/" + model + "?version=" + version},
+    parts_->perform({.path = "/weights/" + http::escape_query_value(model) +
+                             "?version=" + http::escape_query_value(version)},
                     read_weight_reply, std::move(on_done));
 }
 
--- a/tests/platform/readers_test.cpp
+++ b/tests/platform/readers_test.cpp
@@ -156,6 +156,18 @@
     BOOST_TEST(value_of(read).started_unix_ms == 1700000000000);
 }
 
+// The id goes into a header field and into JSON texts.
+BOOST_AUTO_TEST_CASE(an_id_that_no_field_can_state_names_a_server)
+{
+    for (std::string const id :
+         {"", "a b", "a\r\nb", "\xff", "\xc3\xbc", "a\x7f"}) {
+        BOOST_TEST(failed(read_server_entry(id, entry_text)));
+    }
+    for (std::string const id : {"i-1", "a05+", "a02%41", "~!"}) {
+        BOOST_TEST(!failed(read_server_entry(id, entry_text)));
+    }
+}
+
 // An entry of an older writer lacks these fields. Other types are rejected, as
 // in all other fields.
 BOOST_AUTO_TEST_CASE(reads_whether_a_server_is_reclaimed)
--- a/tests/platform_standins/include/medlarstall/platform_standins/store_standin.hpp
+++ b/tests/platform_standins/include/medlarstall/platform_standins/store_standin.hpp
@@ -71,6 +71,14 @@
     /// \param mood how to treat callers from now on
     void set_mood(store_mood mood) { mood_ = mood; }
 
+    /// Sets how many records a page of the newest records holds at most.
+    /// \param records their number; above zero
+    void set_page_size(std::size_t records) { page_size_ = records; }
+
+    /// Answers each read of the newest records with the first page from now on,
+    /// whatever key it continues after.
+    void repeat_first_page() { repeats_first_page_ = true; }
+
     /// \return calls that it has received
     [[nodiscard]] std::size_t calls() const { return calls_; }
 
@@ -102,7 +110,7 @@
     void on_request(std::unique_ptr<http::exchange> caller,
                     std::shared_ptr<entrance const> const& from);
     void respond(http::exchange& caller, http::response answer) const;
-    void answer_newest(http::exchange& caller, topic_log const& log);
+    void answer_newest(http::exchange& caller, topic_log const& log) const;
     void answer_read(std::shared_ptr<http::exchange> const& caller,
                      std::shared_ptr<entrance const> const& from,
                      std::string const& topic, int waits_left);
@@ -118,6 +126,8 @@
     std::vector<std::shared_ptr<entrance>> entrances_;
     std::vector<std::shared_ptr<http::exchange>> unanswered_;
     store_mood mood_ = store_mood::serving;
+    std::size_t page_size_ = 500; // As the platform's store.
+    bool repeats_first_page_ = false;
     std::size_t calls_ = 0;
 };
 
--- a/tests/platform_standins/main.cpp
+++ b/tests/platform_standins/main.cpp
@@ -188,6 +188,18 @@
     bool limited_ = false;
 };
 
+/// Adds records of another writer, and lets reads of all keys take several
+/// pages, whose borders are at these keys.
+void put_records_of_others(platform_standins::store_standin& store)
+{
+    store.set_page_size(1);
+    for (auto const* const topic : {"keyed.op", "keyed.servers"}) {
+        for (auto const* const key : {"a02%41", "a03&part=7", "a05+", "z z"}) {
+            store.put(topic, key, "{}");
+        }
+    }
+}
+
 } // namespace
 
 int main(int count, char** words)
@@ -198,6 +210,7 @@
     asio::io_context context{1};
     if (role == "store" && count == store_words) {
         platform_standins::store_standin store{context, loopback(words[2])};
+        put_records_of_others(store);
         context.run();
         return EXIT_SUCCESS;
     }
--- a/tests/platform_standins/src/store_standin.cpp
+++ b/tests/platform_standins/src/store_standin.cpp
@@ -6,7 +6,9 @@
 #include <boost/archive/iterators/transform_width.hpp>
 #include <nlohmann/json.hpp>
 
+#include <charconv>
 #include <chrono>
+#include <string_view>
 #include <utility>
 
 namespace medlarstall::platform_standins {
@@ -36,6 +38,27 @@
     return bytes;
 }
 
+/// Decodes a value of a query as servers do: a plus sign is a blank, and a
+/// percent sign begins the two hexadecimal digits of a byte.
+std::string decode_query_value(std::string_view text)
+{
+    constexpr int hexadecimal = 16;
+    std::string bytes;
+    for (std::size_t at = 0; at < text.size(); ++at) {
+        unsigned char byte = 0;
+        auto const digits = text.substr(at + 1, 2);
+        auto const is_escape =
+            text[at] == '%' && digits.size() == 2 &&
+            std::from_chars(digits.data(), digits.data() + 2, byte, hexadecimal)
+                    .ptr == digits.data() + 2;
+        bytes += is_escape         ? static_cast<char>(byte)
+                 : text[at] == '+' ? ' '
+                                   : text[at];
+        at += is_escape ? 2 : 0;
+    }
+    return bytes;
+}
+
 http::response json_answer(int status, json const& value)
 {
     http::response answer{{status, {}, {}}, value.dump()};
@@ -168,17 +191,29 @@
     }
 }
 
-void store_standin::answer_newest(http::exchange& caller, topic_log const& log)
+void store_standin::answer_newest(http::exchange& caller,
+                                  topic_log const& log) const
 {
+    auto const after =
+        decode_query_value(http::query_value(caller.head().target, "after"));
     auto items = json::array();
+    auto truncated = false;
     for (auto const& [key, at] : newest_offsets(log)) {
-        if (auto const& value = log.records[at].value) {
-            items.push_back(
-                {{"key", key}, {"value", to_base64(*value)}, {"offset", at}});
+        auto const& value = log.records[at].value;
+        auto const is_before =
+            !repeats_first_page_ && !after.empty() && key <= after;
+        if (!value || is_before) {
+            continue;
+        }
+        truncated = items.size() == page_size_;
+        if (truncated) {
+            break;
         }
+        items.push_back(
+            {{"key", key}, {"value", to_base64(*value)}, {"offset", at}});
     }
     respond(caller, json_answer(200, {{"items", items},
-                                      {"truncated", false},
+                                      {"truncated", truncated},
                                       {"endOffset", log.records.size()}}));
 }
 
