--- a/src/libgateway/src/gateway.cpp
+++ b/src/libgateway/src/gateway.cpp
@@ -178,7 +178,9 @@
     auto const open = [](http::http_listener& listener,
                          asio::ip::tcp::endpoint& address) {
         auto outcome = listener.listen(address);
-        address = listener.address();
+        if (!failed(outcome)) {
+            address = listener.address();
+        }
         return outcome;
     };
     auto const listeners = {
--- a/src/libgateway/src/peer_link.cpp
+++ b/src/libgateway/src/peer_link.cpp
@@ -1,6 +1,7 @@
 #include <medlarstall/gateway/peer_link.hpp>
 
 #include <medlarstall/gateway/connection_pool.hpp>
+#include <medlarstall/http/http_listener.hpp>
 
 #include <asio/buffer.hpp>
 
@@ -24,7 +25,9 @@
         std::ignore = socket_.non_blocking(true, failure);
     }
     if (failure) {
-        return error{"peer address", failure.message()};
+        auto const in_use = failure == asio::error::address_in_use;
+        return error{in_use ? http::address_in_use : "peer address",
+                     failure.message()};
     }
     receive();
     return success();
--- a/src/libhttp/include/medlarstall/http/http_listener.hpp
+++ b/src/libhttp/include/medlarstall/http/http_listener.hpp
@@ -15,6 +15,9 @@
 
 namespace medlarstall::http {
 
+/// Field of the error of listening at an address that another socket has.
+inline constexpr char const* address_in_use = "address in use";
+
 /// Accepts connections of callers at one address and owns them. Owned by the
 /// gateway.
 class http_listener
--- a/src/libhttp/src/http_listener.cpp
+++ b/src/libhttp/src/http_listener.cpp
@@ -93,9 +93,13 @@
         std::ignore = acceptor_.listen(accept_backlog, failure);
     }
     if (failure) {
-        return error{"listen", address.address().to_string() + ":" +
-                                   std::to_string(address.port()) + ": " +
-                                   failure.message()};
+        std::error_code ignored;
+        std::ignore = acceptor_.close(ignored);
+        auto const in_use = failure == asio::error::address_in_use;
+        return error{in_use ? address_in_use : "listen",
+                     address.address().to_string() + ":" +
+                         std::to_string(address.port()) + ": " +
+                         failure.message()};
     }
     accept();
     return success();
