--- a/src/libdispatch/include/medlarstall/dispatch/dispatcher.hpp
+++ b/src/libdispatch/include/medlarstall/dispatch/dispatcher.hpp
@@ -11,12 +11,14 @@
 #include <medlarstall/dispatch/placement_cost.hpp>
 #include <medlarstall/dispatch/prompt_cache_estimate.hpp>
 #include <medlarstall/dispatch/rate_permits.hpp>
+#include <medlarstall/dispatch/rejection_limit.hpp>
 #include <medlarstall/dispatch/requested_pause.hpp>
 #include <medlarstall/dispatch/retry_budget.hpp>
 #include <medlarstall/dispatch/return_schedule.hpp>
 #include <medlarstall/dispatch/server_health.hpp>
 #include <medlarstall/dispatch/server_rate_limit.hpp>
 #include <medlarstall/dispatch/server_reports.hpp>
+#include <medlarstall/dispatch/server_room.hpp>
 #include <medlarstall/routes/route_table.hpp>
 #include <medlarstall/support/time.hpp>
 
@@ -192,6 +194,36 @@
     [[nodiscard]] std::vector<rate_limit_notice>
     rate_limits_changed_since(time_point since, time_point now) const;
 
+    /// Called when an answer of a backend server states how many rejections it
+    /// survives. Until the others of its service answer, the same is assumed of
+    /// them. Requests are then kept to the slots of these servers.
+    /// \param id id of the backend server
+    /// \param rejections_per_second the limit; zero or more
+    /// \param now current time
+    /// \return true if this is new
+    bool on_rejection_limit(std::string_view id, double rejections_per_second,
+                            time_point now);
+
+    /// Called when an answer of a backend server states no such limit.
+    /// \param id id of the backend server
+    /// \param sent_at when the request of the answer was sent
+    /// \param now current time
+    /// \return true if there was a limit before
+    bool on_no_rejection_limit(std::string_view id, time_point sent_at,
+                               time_point now);
+
+    /// \param service name of a service
+    /// \param urgency_share as in placement_request
+    /// \param now current time
+    /// \return true if a backend server of the service gets no request now, to
+    ///     spare it rejections
+    [[nodiscard]] bool lacks_room(std::string_view service,
+                                  double urgency_share, time_point now) const;
+
+    /// \param now current time
+    /// \return number of backend servers that survive few rejections
+    [[nodiscard]] std::size_t limited_room_count(time_point now) const;
+
     /// Sets which daemons share the rate limits of backend servers. Without
     /// this call, this daemon uses them alone.
     /// \param fleet the daemons
@@ -416,6 +448,8 @@
         limit_sharers sharers;
         /// Value of limit_division_.revision() from which sharers was computed.
         std::uint64_t sharers_revision = 0;
+        rejection_limit rejections;
+        server_room room;       ///< Part of this daemon in its slots.
         server_reports reports; ///< Of all daemons.
         bool leaving = false;
         /// When it announced to this daemon that it leaves; empty if only
@@ -430,6 +464,15 @@
         std::uint64_t id_hash;
     };
     using known_servers = std::vector<known_server>;
+    /// Rejections that the servers of a service survive, as one of them has
+    /// stated last.
+    struct service_rejection_limit
+    {
+        double rejections_per_second = 0;
+        time_point stated_at;
+        /// Until then its slots may not suffice for all requests.
+        time_point crowded_until = time_point::min();
+    };
     /// Backend servers of one service.
     struct service_servers
     {
@@ -457,9 +500,9 @@
                      time_point now);
     static double long_prefill_share_of(server_record const& record,
                                         time_point now);
-    static comparison compare(known_servers const& servers,
-                              placement_request const& request,
-                              health worst_health, time_point now);
+    comparison compare(known_servers const& servers,
+                       placement_request const& request, health worst_health,
+                       time_point now) const;
     static void set_copied_tokens(candidate& evaluated,
                                   comparison const& others,
                                   routes::service const* service);
@@ -472,19 +515,34 @@
     static bool is_usable(known_server const& server,
                           placement_request const& request, health worst_health,
                           time_point now);
-    static bool is_eligible(known_server const& server,
-                            placement_request const& request,
-                            health worst_health, time_point now);
+    bool is_eligible(known_server const& server,
+                     placement_request const& request, health worst_health,
+                     time_point now) const;
     void invalidate_assignments();
     void assign_servers_to_cell();
     shared_time time_of_day(time_point now) const;
     void update_sharers(std::string_view id, server_record& record);
     void add_permits(std::string_view id, server_record& record,
                      time_point now);
-    static bool may_send(server_record const& record, double urgency_share,
-                         time_point now);
-    static bool has_withheld(known_servers const& servers,
-                             placement_request const& request, time_point now);
+    static bool has_permit(server_record const& record, double urgency_share,
+                           time_point now);
+    bool may_send(known_server const& server, double urgency_share,
+                  time_point now) const;
+    bool has_withheld(known_servers const& servers,
+                      placement_request const& request, time_point now) const;
+    std::optional<double> rejection_limit_of(backend_server_entry const& entry,
+                                             server_record const& record,
+                                             time_point now) const;
+    void update_room(backend_server_entry const& entry, server_record& record,
+                     time_point now);
+    void update_crowding(std::string const& service,
+                         known_servers const& servers, time_point now);
+    void note_crowding(std::string const& service, time_point now);
+    [[nodiscard]] bool is_crowded(std::string const& service,
+                                  time_point now) const;
+    room_decision decide_room(backend_server_entry const& entry,
+                              server_record const& record, double urgency_share,
+                              time_point now) const;
     duration time_until_usable(server_record const& record,
                                double urgency_share, time_point now) const;
     std::optional<placement> choose_from(known_servers const& servers,
@@ -509,6 +567,8 @@
     shared_time time_of_day_;
     time_point time_of_day_set_at_;
     std::map<std::string, return_schedule, std::less<>> return_schedules_;
+    std::map<std::string, service_rejection_limit, std::less<>>
+        rejection_limits_; ///< By service.
     /// For each other daemon, by peer address, the backend servers at which it
     /// has load.
     std::map<std::string, std::vector<std::string>> servers_loaded_by_peer_;
--- a/src/libdispatch/include/medlarstall/dispatch/rate_permits.hpp
+++ b/src/libdispatch/include/medlarstall/dispatch/rate_permits.hpp
@@ -32,6 +32,12 @@
     [[nodiscard]] bool includes_own() const;
 };
 
+/// \param sharers the daemons; this one must be among them
+/// \param number number of one of the things that they divide
+/// \return true if it belongs to this daemon, by rendezvous hashing
+[[nodiscard]] bool owns_number(limit_sharers const& sharers,
+                               std::int64_t number);
+
 /// The permits of this daemon to send requests to a backend server that limits
 /// the rate of all daemons together.
 ///
--- a/src/libdispatch/src/dispatcher.cpp
+++ b/src/libdispatch/src/dispatcher.cpp
@@ -165,6 +165,10 @@
     load_reservation reservation;
     auto& record = ensure_record(chosen.backend_server);
     record.permits.take(now);
+    if (auto const* const entry = find_entry(chosen.backend_server)) {
+        record.room.on_sent(
+            decide_room(*entry, record, request.urgency_share, now), now);
+    }
     reservation.backend_server = chosen.backend_server;
     reservation.service = request.service;
     reservation.incarnation = record.incarnation;
@@ -257,6 +261,10 @@
         outcome == send_outcome::rejected) {
         record->health_tracker.on_outcome(outcome == send_outcome::succeeded);
     }
+    if (outcome == send_outcome::rejected) {
+        record->room.on_rejected(now);
+        note_crowding(reservation.service, now);
+    }
 }
 
 /// \return record of the run of the backend server that a load was added to;
@@ -383,7 +391,7 @@
             continue;
         }
         add_permits(id, record, now);
-        if (may_send(record, 0, now) &&
+        if (has_permit(record, 0, now) &&
             record.health_tracker.start_probe(now)) {
             record.permits.take(now);
             due.push_back(*entry);
--- a/src/libdispatch/src/dispatcher_choice.cpp
+++ b/src/libdispatch/src/dispatcher_choice.cpp
@@ -72,7 +72,8 @@
 /// The preference is by rendezvous hashing of the first part.
 dispatcher::comparison dispatcher::compare(known_servers const& servers,
                                            placement_request const& request,
-                                           health worst_health, time_point now)
+                                           health worst_health,
+                                           time_point now) const
 {
     comparison result;
     for (auto const& server : servers) {
@@ -229,10 +230,10 @@
 
 bool dispatcher::is_eligible(known_server const& server,
                              placement_request const& request,
-                             health worst_health, time_point now)
+                             health worst_health, time_point now) const
 {
     return is_usable(server, request, worst_health, now) &&
-           may_send(*server.record, request.urgency_share, now);
+           may_send(server, request.urgency_share, now);
 }
 
 std::optional<placement>
@@ -250,7 +251,7 @@
         if (!is_usable(server, request, worst_health, now)) {
             continue;
         }
-        if (!may_send(*server.record, request.urgency_share, now)) {
+        if (!may_send(server, request.urgency_share, now)) {
             ++withheld;
             continue;
         }
@@ -312,11 +313,14 @@
     auto const& [all, in_cell] = found->second;
     for (auto const& server : all) {
         add_permits(server.listing->entry.id, *server.record, now);
+        update_room(server.listing->entry, *server.record, now);
     }
+    update_crowding(request.service, all, now);
     for (auto const worst_health :
          {health::up, health::suspect, health::down}) {
         if (worst_health == health::down && has_withheld(all, request, now)) {
-            break; // Waiting for a permit is better than a server that is down.
+            break; // Waiting for one of them is better than a server that is
+                   // down.
         }
         for (auto const* const servers : {&in_cell, &all}) {
             if (auto chosen =
@@ -327,6 +331,7 @@
             }
         }
     }
+    note_crowding(request.service, now);
     return std::nullopt;
 }
 
--- a/src/libdispatch/src/dispatcher_limits.cpp
+++ b/src/libdispatch/src/dispatcher_limits.cpp
@@ -116,21 +116,32 @@
     }
 }
 
-bool dispatcher::may_send(server_record const& record, double urgency_share,
-                          time_point now)
+bool dispatcher::has_permit(server_record const& record, double urgency_share,
+                            time_point now)
 {
     return !record.rate_limit.requests_per_second() ||
            record.permits.available(urgency_share, now);
 }
 
+/// \return true if neither the rate limit of a backend server nor its room
+///     holds the request back
+bool dispatcher::may_send(known_server const& server, double urgency_share,
+                          time_point now) const
+{
+    return has_permit(*server.record, urgency_share, now) &&
+           admits(decide_room(server.listing->entry, *server.record,
+                              urgency_share, now));
+}
+
 /// \return true if a backend server could take the request if it had not had as
-///     many as its rate limit allows
+///     many as its rate limit or its room allows
 bool dispatcher::has_withheld(known_servers const& servers,
-                              placement_request const& request, time_point now)
+                              placement_request const& request,
+                              time_point now) const
 {
     return std::ranges::any_of(servers, [&](known_server const& server) {
         return is_usable(server, request, health::suspect, now) &&
-               !may_send(*server.record, request.urgency_share, now);
+               !may_send(server, request.urgency_share, now);
     });
 }
 
@@ -142,7 +153,7 @@
     }
     auto& record = found->second;
     add_permits(id, record, now);
-    if (!may_send(record, 0, now)) {
+    if (!has_permit(record, 0, now)) {
         return false;
     }
     record.permits.take(now);
@@ -155,7 +166,7 @@
 {
     auto const paused = record.pause.remaining(now);
     auto const limit = record.rate_limit.requests_per_second();
-    if (!limit || may_send(record, urgency_share, now)) {
+    if (!limit || has_permit(record, urgency_share, now)) {
         return paused;
     }
     // The caller may return to any daemon, thus the next permit of any counts.
--- a/src/libdispatch/src/rate_permits.cpp
+++ b/src/libdispatch/src/rate_permits.cpp
@@ -43,8 +43,9 @@
     return std::chrono::duration_cast<duration>(seconds{count});
 }
 
-/// \return true if the permit of the given number belongs to this daemon
-bool owns(limit_sharers const& sharers, std::int64_t number)
+} // namespace
+
+bool owns_number(limit_sharers const& sharers, std::int64_t number)
 {
     auto const key = mix(sharers.server ^ static_cast<std::uint64_t>(number));
     auto const own_score = mix(sharers.own ^ key);
@@ -53,8 +54,6 @@
     });
 }
 
-} // namespace
-
 bool limit_sharers::includes_own() const
 {
     return all && std::ranges::find(*all, own) != all->end();
@@ -138,7 +137,7 @@
     auto const last =
         static_cast<std::int64_t>(std::floor(seconds_of(at) * rate));
     for (auto number = before + 1; number <= last; ++number) {
-        if (owns(sharers, number)) {
+        if (owns_number(sharers, number)) {
             auto const issued = static_cast<double>(number) / rate;
             batches_.push_back(
                 {now - to_duration(std::max(0.0, seconds_of(at) - issued)), 1});
--- a/src/libgateway/include/medlarstall/gateway/gateway.hpp
+++ b/src/libgateway/include/medlarstall/gateway/gateway.hpp
@@ -286,6 +286,10 @@
                               answer_metadata const& metadata,
                               std::optional<time_point> sent_at,
                               time_point now);
+    void on_stated_rejection_limit(std::string const& id,
+                                   answer_metadata const& metadata,
+                                   std::optional<time_point> sent_at,
+                                   time_point now);
     void log_rate_limit(std::string const& id,
                         dispatch::rate_limit_change change,
                         std::string const& told_by, time_point now);
--- a/src/libgateway/include/medlarstall/gateway/wire_protocol.hpp
+++ b/src/libgateway/include/medlarstall/gateway/wire_protocol.hpp
@@ -90,6 +90,11 @@
     std::optional<double> rate_limit;
     /// The limit as stated, if it is not a number that can be one.
     std::optional<std::string> malformed_rate_limit;
+    /// Requests that the backend server can reject in a second without
+    /// crashing, if it states that.
+    std::optional<double> rejection_limit;
+    /// The same as stated, if it is not a valid number.
+    std::optional<std::string> malformed_rejection_limit;
 };
 
 /// An answer that the gateway gives itself instead of a backend server.
--- a/src/libgateway/src/forwarded_request.cpp
+++ b/src/libgateway/src/forwarded_request.cpp
@@ -168,7 +168,11 @@
                    make_placement_request(), now)) {
         refuse_rate_limited(*booked, now);
     } else {
-        refuse(origin_ ? "no_server_of_release" : "no_backend_server",
+        auto const lacks_room =
+            context_.dispatcher.lacks_room(service_, urgency_share(), now);
+        refuse(origin_      ? "no_server_of_release"
+               : lacks_room ? "no_room"
+                            : "no_backend_server",
                retry_delay_after_pause(dispatch::no_server_retry_after));
     }
 }
--- a/src/libgateway/src/gateway.cpp
+++ b/src/libgateway/src/gateway.cpp
@@ -425,7 +425,8 @@
 }
 
 /// Applies what a backend server reports about itself in an answer: that it is
-/// leaving, that it asks for a pause, or that it limits its rate.
+/// leaving, that it asks for a pause, that it limits its rate, or that it
+/// survives few rejections.
 void gateway::on_server_metadata(std::string const& id,
                                  answer_metadata const& metadata,
                                  std::optional<time_point> sent_at)
@@ -442,6 +443,7 @@
             .with("wanted", *metadata.requested_pause);
     }
     on_stated_rate_limit(id, metadata, sent_at, now);
+    on_stated_rejection_limit(id, metadata, sent_at, now);
 }
 
 void gateway::log_server_leaving(std::string const& id,
--- a/src/libgateway/src/gateway_limits.cpp
+++ b/src/libgateway/src/gateway_limits.cpp
@@ -37,6 +37,39 @@
     log_rate_limit(id, change, settings_.name, now);
 }
 
+/// Applies what an answer states about the rejections that a backend server
+/// survives.
+/// \param sent_at as in on_stated_rate_limit()
+void gateway::on_stated_rejection_limit(std::string const& id,
+                                        answer_metadata const& metadata,
+                                        std::optional<time_point> sent_at,
+                                        time_point now)
+{
+    if (metadata.malformed_rejection_limit) {
+        log_entry{log_, log_category::failure, "rejection_limit_rejected"}
+            .with("server", id)
+            .with("stated", *metadata.malformed_rejection_limit);
+        return;
+    }
+    auto const& limit = metadata.rejection_limit;
+    auto changed = false;
+    if (limit) {
+        changed = dispatcher_.on_rejection_limit(id, *limit, now);
+    } else if (sent_at) {
+        changed = dispatcher_.on_no_rejection_limit(id, *sent_at, now);
+    }
+    if (!changed) {
+        return;
+    }
+    metrics_.count_state_change("rejection_limit");
+    log_entry{log_, log_category::state_change, "rejection_limit"}
+        .with("server", id)
+        .with("change", limit ? "stated" : "ended")
+        .with("per_second", std::to_string(limit.value_or(0)))
+        .with("limited_servers", dispatcher_.limited_room_count(now))
+        .with("sharers", limit_sharers_.size());
+}
+
 /// Tells the dispatcher how many daemons share the retry budgets.
 void gateway::update_retry_sharers(time_point now)
 {
--- a/src/libgateway/src/gateway_requests.cpp
+++ b/src/libgateway/src/gateway_requests.cpp
@@ -325,6 +325,7 @@
     set("list_offset", servers_follower_->position().offset);
     set("backend_servers", dispatcher_.listed().all().size());
     set("rate_limited_servers", dispatcher_.limited_server_count());
+    set("limited_room_servers", dispatcher_.limited_room_count(now));
     set("doubted_servers", dispatcher_.doubted_server_count(now));
     set("live_peers", members_.live_members(now).size());
     set("requests_in_flight", requests_.size());
--- a/tests/platform_standins/include/medlarstall/platform_standins/server_standin.hpp
+++ b/tests/platform_standins/include/medlarstall/platform_standins/server_standin.hpp
@@ -111,6 +111,13 @@
         rate_limit_ = std::move(requests_per_second);
     }
 
+    /// States in all answers from now on how many rejections it survives.
+    /// \param per_second the number as text; empty to state none
+    void limit_rejections(std::string per_second)
+    {
+        rejection_limit_ = std::move(per_second);
+    }
+
     /// \return when each request of any kind has reached it
     [[nodiscard]] std::vector<std::chrono::steady_clock::time_point> const&
     arrival_times() const
@@ -158,6 +165,7 @@
     bool leaving_ = false;
     bool rejects_health_checks_ = false;
     std::string rate_limit_;
+    std::string rejection_limit_;
     std::string crashing_part_;
     std::optional<std::chrono::steady_clock::time_point> crashed_at_;
 };
--- a/tests/platform_standins/src/server_standin.cpp
+++ b/tests/platform_standins/src/server_standin.cpp
@@ -64,6 +64,9 @@
     if (leaving_) {
         head.headers.add("Server-Leaving", "1");
     }
+    if (!rejection_limit_.empty()) {
+        head.headers.add("Server-Brittle", rejection_limit_);
+    }
     if (!rate_limit_.empty()) {
         head.headers.add("Server-Limit", rate_limit_);
     }
