Mend what the linter found in the new code

Integer division in a floating-point context, a handler that is copied, and the data of a string view in the stand-in store. No behaviour changes.

--- a/src/libdispatch/src/server_room.cpp
+++ b/src/libdispatch/src/server_room.cpp
@@ -91,7 +91,8 @@
 
 double server_room::slots_of_each() const
 {
-    return daemons_ == 0 ? 0.0 : static_cast<double>(slots_ / daemons_);
+    auto const whole = daemons_ == 0 ? 0 : slots_ / daemons_;
+    return static_cast<double>(whole);
 }
 
 double server_room::other_slots() const
--- a/tests/libgateway/restored_store_test.cpp
+++ b/tests/libgateway/restored_store_test.cpp
@@ -90,7 +90,7 @@
         duties->lease = 1500ms;
         duties->report_window = 1s;
         call_duty = [this](duty::duty_call const& call, auto const&, auto,
-                           auto done) {
+                           auto const& done) {
             auto const& report = std::get<duty::usage_report>(call);
             accepted[report.window].insert(report.counts);
             asio::post(context,
--- a/tests/platform_standins/src/store_standin.cpp
+++ b/tests/platform_standins/src/store_standin.cpp
@@ -46,7 +46,7 @@
     std::string bytes;
     for (std::size_t at = 0; at < text.size(); ++at) {
         unsigned char byte = 0;
-        auto const digits = text.substr(at + 1, 2);
+        std::string const digits{text.substr(at + 1, 2)};
         auto const is_escape =
             text[at] == '%' && digits.size() == 2 &&
             std::from_chars(digits.data(), digits.data() + 2, byte, hexadecimal)
