review: Two machines send the same fencing token after two restores

After the store was restored from an older copy the token of the lease grows by a million, however many restores lie between. After two of them that hold the same record, the next holder uses the token that another machine has used.

Nothing is fixed.

--- a/review/lib3/site_of_case.py
+++ b/review/lib3/site_of_case.py
@@ -184,6 +184,20 @@
         async with self.changed:
             self.changed.notify_all()
 
+    def copy(self):
+        return {name: list(records) for name, records in self.topics.items()}
+
+    async def restore(self, copy, away_s=0.5):
+        """Is away for a moment, and comes back from an older copy."""
+        self.busy = True
+        await asyncio.sleep(away_s)
+        for name, records in self.topics.items():
+            records[:] = copy.get(name, [])
+        self.era += 1
+        self.busy = False
+        self.record.add("store_restored", era=self.era)
+        await self.notify()
+
     async def put(self, topic, key, value):
         """Writes a record as the operator or a runner does."""
         name = key.encode()
@@ -392,7 +406,8 @@
             "platform.form": "log", "platform.writesPerS": "400",
             "platform.readsPerS": "2000", "platform.parts": "12",
             "platform.recordBytes": "262144", "platform.callBytes": "2097152",
-            "platform.keep_s": "300", "platform.ttlMinMs": "1000"}
+            "platform.keep_s": "300", "platform.ttlMinMs": "1000",
+            **self.site.more_settings}
         return "".join(f"{key}={value}\n" for key, value in lines.items())
 
     def start(self, bootstrap=True):
@@ -438,6 +453,7 @@
         for number in range(1, gateways + 1):
             self.gateways.append(Gateway(self, number, ports[:6]))
         self.runners = []
+        self.more_settings = {}
 
     def add_runner(self, *args, kind=Runner, **traits):
         runner = kind(self, *args, **traits)
