--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,10 +1,7 @@
-"""Streams without a length look complete although their runner has crashed,
-while another connection to that runner has gone silent.
-
-TROUBLE=crash plays the crash without the silent connection."""
+"""Streams are joined from two software versions after a config that shortens
+the time-out of their route."""
 
 import asyncio
-import os
 import pathlib
 import sys
 
@@ -14,89 +11,74 @@
 import site_of_case as sites  # noqa: E402
 
 STREAMS = 8
-EVENTS = 40
-EVENT_S = 0.1
-SILENT_AT_S = 1.5
-CRASH_AT_S = 2.0
-DOWN_S = 4.0
-SILENCE = sites.TROUBLE and os.environ.get("TROUBLE") != "crash"
-
-
-class Link:
-    """The link from the gateway to a runner. Its first connection can go
-    silent: nothing arrives on it any more, not even its end."""
-
-    def __init__(self, target):
-        self.target = target
-        self.count = 0
-        self.first_is_silent = False
-
-    async def start(self):
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
-        return self.server.sockets[0].getsockname()[:2]
-
-    async def serve(self, reader, writer):
-        self.count += 1
-        number = self.count
-        try:
-            there, back = await asyncio.open_connection(*self.target())
-        except OSError:
-            sites.reset(writer)  # As the kernel of the runner's machine does.
-            return
-        await asyncio.gather(self.pump(reader, back, number),
-                             self.pump(there, writer, number))
+EVENTS = 140
+EVENT_S = 0.1  # A stream lasts for 14 s.
+TIMEOUT_MS, SHORTER_MS = 15000, 5000
+CONFIG_AT_S = 0.5
+RELEASE_AT_S = 0.5
+REMOVED_AFTER_S = 0.7
+EXIT_AT_S = 12.5
+MOST_MIXED = 2
+
+
+def config(version, timeout_ms):
+    return sites.config(version, [sites.route(
+        "stream", "streaming", "writers", timeout_ms, 1500, resume=True)],
+        [sites.model_service("writers")])
 
-    async def pump(self, source, sink, number):
-        try:
-            while data := await source.read(65536):
-                if not self.is_silent(number):
-                    sink.write(data)
-                    await sink.drain()
-        except OSError:
-            pass
-        if not self.is_silent(number):
-            sink.close()
 
-    def is_silent(self, number):
-        return number == 1 and self.first_is_silent
+async def client(site, number):
+    """Takes its stream up again, at once and on a new connection."""
+    loop = asyncio.get_running_loop()
+    ends = loop.time() + TIMEOUT_MS / 1000
+    events = []
+    first = f"a{number}"
+    fields = {}
+    for attempt in range(3):
+        left_ms = int((ends - loop.time()) * 1000)
+        if left_ms < 500:
+            break
+        answer = await sites.call(site, site.gateways[0],
+                                  first if attempt == 0 else
+                                  f"{first}-{attempt}", "/stream/x",
+                                  deadline_ms=left_ms, fields=fields)
+        events += answer.events
+        if answer.status == 200 and answer.complete:
+            break
+        if events:
+            fields = {"Last-Event-Id": events[-1][0], "Resumes": first}
+        await asyncio.sleep(float(answer.fields.get("retry-after", 0)))
+    return events
 
 
 async def scenario(site):
-    runner = site.add_runner("i-1", "writers", events=EVENTS, event_s=EVENT_S)
-    runner.unframed = True
-    link = Link(lambda: runner.address)
-    runner.told_address = await link.start()
-    config = sites.config(1, [sites.route(
-        "stream", "streaming", "writers", 12000, 1500)],
-        [sites.model_service("writers")])
-    await site.start(config)
-
-    async def client(number):
-        await asyncio.sleep(0.02 * number)
-        return await sites.call(site, site.gateways[0], f"a{number}",
-                                "/stream/x", deadline_ms=12000)
-
-    tasks = [asyncio.create_task(client(n)) for n in range(STREAMS)]
-    await asyncio.sleep(SILENT_AT_S)
-    if SILENCE:
-        link.first_is_silent = True
-        site.record.add("connection_silent", number=1)
-    await asyncio.sleep(CRASH_AT_S - SILENT_AT_S)
+    old = site.add_runner("i-1", "writers", version="v1", events=EVENTS,
+                          event_s=EVENT_S)
+    new = sites.Runner(site, "i-2", "writers", version="v2", events=EVENTS,
+                       event_s=EVENT_S)
+    await site.start(config(1, TIMEOUT_MS))
+    tasks = [asyncio.create_task(client(site, n)) for n in range(STREAMS)]
+    await asyncio.sleep(RELEASE_AT_S)
+    await new.start()
     if sites.TROUBLE:
-        runner.end()
-        await asyncio.sleep(DOWN_S)
-        await runner.start()
-    answers = await asyncio.gather(*tasks)
-    early = [answer for answer in answers
-             if answer.status == 200 and answer.complete
-             and len(answer.events) < EVENTS]
-    whole = sum(answer.complete and len(answer.events) == EVENTS
-                for answer in answers)
-    print(f"{len(answers)} streams, {whole} whole, "
-          f"{len(early)} looked complete before their last event")
-    if not sites.TROUBLE and whole < STREAMS:
+        await site.store.put_config(config(2, SHORTER_MS))
+    await asyncio.sleep(REMOVED_AFTER_S)
+    await old.leave_list()
+    await asyncio.sleep(EXIT_AT_S - REMOVED_AFTER_S - RELEASE_AT_S)
+    old.end()
+    streams = await asyncio.gather(*tasks)
+    mixed = [events for events in streams
+             if len({data.split(" ")[0] for _, data in events}) > 1]
+    for number, events in enumerate(streams):
+        site.record.add("stream", number=number, events=len(events), versions=
+                        ",".join(sorted({data.split(" ")[0]
+                                         for _, data in events})))
+    begun = sum(len(events) > 0 for events in streams)
+    print(f"{len(streams)} streams, {begun} begun, "
+          f"{len(mixed)} hold events of two versions")
+    if begun < STREAMS:
         return sites.NOT_RUN
-    return sites.BROKEN if early else sites.KEPT
+    return sites.BROKEN if len(mixed) > MOST_MIXED else sites.KEPT
 
 
 sites.play(FOLDER, scenario)
--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,7 +1,9 @@
-"""Streams go on at another software version after the store was restored from
-an older copy while the machines were killed."""
+"""Two machines send the same generation number, after the store has been
+restored twice from copies that hold the record of the same earlier holder."""
 
 import asyncio
+import collections
+import json
 import pathlib
 import signal
 import sys
@@ -11,76 +13,90 @@
 
 import site_of_case as sites  # noqa: E402
 
-STREAMS = 16
-EVENTS = 80
-EVENT_S = 0.1
-TIMEOUT_MS = 12000
-AWAY_S = 0.5  # The store.
-START_AGAIN_S = 0.2  # A machine.
-MOST_MIXED = 2
+KEY = "n2ctnfzs989anu6wsjnb"
+WAIT_S = 40
+DUTIES = {"cloudApi.duties": "usage_report", "cloudApi.dutiesPerS": "5",
+          "bounds.fencingEnforced": "true", "bounds.leaseMs": "3000",
+          "bounds.thawMs": "300", "bounds.reportWindowS": "5",
+          "bounds.usageOff": "0.05", "bounds.usageDelayS": "10"}
 
 
-async def client(site, number):
-    """Takes its stream up again, each time on a new connection."""
-    loop = asyncio.get_running_loop()
-    ends = loop.time() + TIMEOUT_MS / 1000
-    events = []
-    first = f"a{number}"
-    fields = {}
-    for attempt in range(8):
-        left_ms = int((ends - loop.time()) * 1000)
-        if left_ms < 500:
-            break
-        gateway = site.gateways[(number + attempt) % len(site.gateways)]
-        answer = await sites.call(site, gateway, first if attempt == 0 else
-                                  f"{first}-{attempt}", "/stream/x",
-                                  deadline_ms=left_ms, fields=fields)
-        events += answer.events
-        if answer.status == 200 and answer.complete:
-            break
-        if events:
-            fields = {"Last-Event-Id": events[-1][0], "Resumes": first}
-        await asyncio.sleep(float(answer.fields.get("retry-after", 0.1)))
-    return events
+class Cloud:
+    """The platform's API; it refuses calls with an old generation number."""
+
+    def __init__(self, record):
+        self.record = record
+        self.highest = 0
+        self.holders = collections.defaultdict(set)  # By generation number.
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        return "%s:%d" % self.server.sockets[0].getsockname()[:2]
+
+    async def serve(self, reader, writer):
+        try:
+            while True:
+                _, fields = await sites.read_head(reader)
+                body = json.loads(await sites.read_body(reader, fields))
+                holder = fields["x-duty-holder"]
+                token = int(fields["x-fencing-token"])
+                status = 200 if token >= self.highest else 409
+                self.highest = max(self.highest, token)
+                self.holders[token].add(holder)
+                self.record.add("usage", holder=holder, token=token,
+                                window=body["windowId"], status=status)
+                writer.write(sites.message(status, {}))
+                await writer.drain()
+        except (OSError, asyncio.IncompleteReadError):
+            writer.close()
+
+    async def next_token(self, above):
+        """Waits for a call with a higher generation number."""
+        for _ in range(WAIT_S * 20):
+            if self.highest > above:
+                return self.highest
+            await asyncio.sleep(0.05)
+        raise RuntimeError("no duty is performed")
 
 
 async def scenario(site):
-    for name in ("i-1", "i-2"):
-        site.add_runner(name, "writers", version="v1", events=EVENTS,
-                        event_s=EVENT_S)
-    new = [sites.Runner(site, name, "writers", version="v2", events=EVENTS,
-                        event_s=EVENT_S) for name in ("i-3", "i-4")]
-    config = sites.config(1, [sites.route(
-        "stream", "streaming", "writers", TIMEOUT_MS, 1500, resume=True)],
-        [sites.model_service("writers")])
+    cloud = Cloud(site.record)
+    site.more_settings = {"cloudApi.address": await cloud.start(), **DUTIES}
+    site.add_runner("i-1", "desk", slots=6)
+    config = sites.config(1, [sites.route("order", "unsafe", "desk", 1500, 100,
+                                          attempts=1)],
+                          [sites.plain_service("desk")])
+    config["tenants"] = [{"name": "hule930", "apiKeys": [KEY], "priority": 1}]
     await site.start(config)
+    first = await cloud.next_token(0)
     copy = site.store.copy()
-    for runner in new:
-        await runner.start()
-    await asyncio.sleep(2 * sites.BEAT_S)
-    tasks = [asyncio.create_task(client(site, n)) for n in range(STREAMS)]
-    await asyncio.sleep(2 * sites.BEAT_S + 0.05)
+    await site.store.restore(copy)
+    await site.store.put_config(config)
+    second = await cloud.next_token(first)
+    holder = next(iter(cloud.holders[second]))
+    site.record.add("holder", name=holder, token=second)
+    if sites.TROUBLE:
+        await site.store.restore(copy)
+        await site.store.put_config(config)
     for gateway in site.gateways:
         gateway.send(signal.SIGKILL)
         gateway.child.wait()
-    drill = (asyncio.create_task(site.store.restore(copy, AWAY_S))
-             if sites.TROUBLE else None)
-    await asyncio.sleep(START_AGAIN_S)
+    for gateway in site.gateways:  # The holder stays away for some seconds.
+        if gateway.name != holder:
+            gateway.start(bootstrap=False)
+    for _ in range(WAIT_S * 20):
+        if any(len(names) > 1 for names in cloud.holders.values()) or \
+                cloud.highest > second:
+            break
+        await asyncio.sleep(0.05)
     for gateway in site.gateways:
-        gateway.start(bootstrap=False)
-    if drill:
-        await drill
-        await site.store.put_config(config)
-    streams = await asyncio.gather(*tasks)
-    versions = [{data.split(" ")[0] for _, data in events}
-                for events in streams]
-    mixed = sum(len(found) > 1 for found in versions)
-    whole = sum(len(events) == EVENTS for events in streams)
-    print(f"{STREAMS} streams, {whole} whole, {mixed} hold events of two "
-          "versions")
-    if not all(versions):
-        return sites.NOT_RUN
-    return sites.BROKEN if mixed > MOST_MIXED else sites.KEPT
+        if gateway.name == holder:
+            gateway.start(bootstrap=False)
+    await asyncio.sleep(1)
+    shared = {token: sorted(names) for token, names in cloud.holders.items()
+              if len(names) > 1}
+    print(f"generation numbers {dict(cloud.holders)}; shared: {shared}")
+    return sites.BROKEN if shared else sites.KEPT
 
 
 sites.play(FOLDER, scenario, gateways=2)
