--- a/review/12/case.py
+++ b/review/12/case.py
@@ -17,6 +17,8 @@
 TIMEOUT_MS = 12000
 AWAY_S = 0.5  # The store.
 START_AGAIN_S = 0.2  # A machine.
+RETRIES = 3
+RETRY_PAUSE_S = 0.25
 MOST_MIXED = 2
 
 
@@ -27,7 +29,7 @@
     events = []
     first = f"a{number}"
     fields = {}
-    for attempt in range(8):
+    for attempt in range(1 + RETRIES):
         left_ms = int((ends - loop.time()) * 1000)
         if left_ms < 500:
             break
@@ -40,7 +42,8 @@
             break
         if events:
             fields = {"Last-Event-Id": events[-1][0], "Resumes": first}
-        await asyncio.sleep(float(answer.fields.get("retry-after", 0.1)))
+        await asyncio.sleep(float(answer.fields.get("retry-after",
+                                                      RETRY_PAUSE_S)))
     return events
 
 
