--- a/src/libdispatch/include/medlarstall/dispatch/stream_origins.hpp
+++ b/src/libdispatch/include/medlarstall/dispatch/stream_origins.hpp
@@ -1,6 +1,7 @@
 #ifndef MEDLARSTALL_DISPATCH_STREAM_ORIGINS_HPP
 #define MEDLARSTALL_DISPATCH_STREAM_ORIGINS_HPP
 
+#include <medlarstall/dispatch/lifetime_history.hpp>
 #include <medlarstall/support/time.hpp>
 
 #include <compare>
@@ -46,6 +47,10 @@
     std::vector<software_release> releases;
     /// Streams that are not complete, of services with several releases.
     std::vector<stream> streams;
+    /// For how long any of them can be taken up, also if it began under an
+    /// earlier configuration. Empty if not known: a daemon of an older version
+    /// has written the record.
+    std::optional<duration> lifetime = std::nullopt;
 };
 
 /// How a daemon knows, or does not know, which release began a stream.
@@ -77,9 +82,14 @@
     /// \param started start of this daemon; it has seen no release before
     explicit stream_origins(time_point started) : history_starts_{started} {}
 
-    /// Sets for how long a stream can be taken up after its first event.
+    /// Sets for how long a stream that begins from now on can be taken up after
+    /// its first event. Those that have begun keep a longer time.
     /// \param lifetime the longest time
-    void set_lifetime(duration lifetime) { lifetime_ = lifetime; }
+    /// \param now current time
+    void set_lifetime(duration lifetime, time_point now)
+    {
+        lifetimes_.set(lifetime, now);
+    }
 
     /// Called when no daemon of the fleet has run before this one started.
     void on_first_start() { first_start_ = true; }
@@ -119,7 +129,8 @@
     void merge_streams(std::vector<stream_origin_record> const& records,
                        time_point now);
 
-    /// Called at the first event of a stream, and when it is taken up.
+    /// Called at the first event of a stream, and when it is taken up. The
+    /// stream and its release are remembered at least until on_ended().
     /// \param id hash of the id of the attempt that brought its first event
     /// \param release release that began it
     /// \param now current time
@@ -166,7 +177,8 @@
     [[nodiscard]] bool is_mixed(std::string_view service, time_point now) const;
 
     /// \param now current time
-    /// \return releases in the list of this daemon, of services with several
+    /// \return releases that are in the list of this daemon or write streams of
+    ///     it, of services with several
     [[nodiscard]] std::vector<software_release>
     mixed_releases(time_point now) const;
 
@@ -191,6 +203,7 @@
         time_point touched_at;
         bool own = false;
         bool complete = false;
+        std::size_t running = 0; ///< Requests of this daemon that relay it.
     };
     /// Running streams of another daemon that are not identified. If it is
     /// killed, what it has told last stands.
@@ -204,6 +217,7 @@
     {
         time_point seen;                       ///< By any daemon.
         time_point listed = time_point::min(); ///< In the list of this one.
+        std::size_t running = 0; ///< Requests that relay a stream of it.
     };
     /// What is known of the releases of one service.
     struct service_releases
@@ -217,10 +231,12 @@
     /// one has not seen.
     bool knows_all_releases(service_releases const& service,
                             time_point now) const;
+    /// Whether what was last noticed at a time cannot matter any more.
+    bool is_old(time_point at, time_point now) const;
     release_times& touch(software_release const& release, time_point now);
 
     time_point history_starts_; ///< Releases have been noticed since then.
-    duration lifetime_ = std::chrono::seconds{30};
+    lifetime_history lifetimes_;
     bool first_start_ = false;
     std::map<std::string, service_releases, std::less<>> services_;
     std::map<std::uint64_t, known_stream> streams_;
--- a/src/libdispatch/src/stream_origins.cpp
+++ b/src/libdispatch/src/stream_origins.cpp
@@ -63,6 +63,9 @@
     std::vector<stream_origin_record> const& records, time_point now)
 {
     for (auto const& record : records) {
+        if (record.lifetime) {
+            lifetimes_.add_earlier(*record.lifetime, now);
+        }
         for (auto const& release : record.releases) {
             touch(release, now);
             services_[release.service].history_known = true;
@@ -110,7 +113,8 @@
     auto const published = stream.own && !stream.complete;
     stream.own = true;
     stream.complete = false;
-    touch(stream.release, now);
+    ++stream.running;
+    ++touch(stream.release, now).running;
     if (!published && is_mixed(stream.release.service, now)) {
         ++revision_;
     }
@@ -144,15 +148,25 @@
     if (found == streams_.end()) {
         return;
     }
-    found->second.touched_at = now;
-    found->second.complete = complete;
+    auto& stream = found->second;
+    stream.touched_at = now;
+    stream.complete = complete;
+    if (stream.running > 0) {
+        --stream.running;
+        --touch(stream.release, now).running;
+    }
+}
+
+bool stream_origins::is_old(time_point at, time_point now) const
+{
+    return now - at > lifetimes_.since(at);
 }
 
 bool stream_origins::knows_all_releases(service_releases const& service,
                                         time_point now) const
 {
     return first_start_ || service.history_known ||
-           now - history_starts_ >= lifetime_;
+           is_old(history_starts_, now);
 }
 
 stream_origin stream_origins::find(std::optional<std::uint64_t> id,
@@ -201,7 +215,8 @@
             continue;
         }
         for (auto const& [version, times] : service.versions) {
-            if (times.listed > now - listed_lifetime) {
+            auto const is_listed = times.listed > now - listed_lifetime;
+            if (is_listed || times.running > 0) {
                 releases.push_back({name, version});
             }
         }
@@ -212,6 +227,7 @@
 stream_origin_record stream_origins::own_record(time_point now) const
 {
     stream_origin_record record;
+    record.lifetime = lifetimes_.longest();
     std::map<software_release, std::uint32_t> index;
     for (auto const& [name, service] : services_) {
         for (auto const& [version, times] : service.versions) {
@@ -237,19 +253,20 @@
 
 void stream_origins::expire(time_point now)
 {
-    auto const is_old = [&](time_point at) {
-        return now - at > lifetime_;
-    };
+    revision_ += lifetimes_.expire(now) ? 1 : 0;
     std::erase_if(streams_, [&](auto const& item) {
-        return is_old(item.second.touched_at);
+        return item.second.running == 0 && is_old(item.second.touched_at, now);
     });
     std::erase_if(unidentified_, [&](auto const& item) {
-        return is_old(item.second.told_at);
+        return is_old(item.second.told_at, now);
     });
     for (auto& [name, service] : services_) {
+        for (auto& [version, times] : service.versions) {
+            times.seen = times.running > 0 ? now : times.seen;
+        }
         auto const dropped =
             std::erase_if(service.versions, [&](auto const& item) {
-                return is_old(item.second.seen);
+                return is_old(item.second.seen, now);
             });
         revision_ += dropped;
     }
--- a/src/libgateway/src/gateway.cpp
+++ b/src/libgateway/src/gateway.cpp
@@ -324,7 +324,8 @@
     }
     route_table_ = std::make_shared<routes::route_table>(std::move(content));
     dispatcher_.set_routes(route_table_);
-    origins_.set_lifetime(longest_stream(route_table_->content()));
+    origins_.set_lifetime(longest_stream(route_table_->content()),
+                          monotonic_clock::now());
     entry_listener_.set_limits({limits.max_head_bytes, limits.max_body_bytes,
                                 limits.head_timeout, limits.idle_timeout});
     schedule_early_requests();
--- a/src/libgateway/src/peer_update.cpp
+++ b/src/libgateway/src/peer_update.cpp
@@ -203,6 +203,9 @@
         record.streams.push_back({streams.at(index).get<std::uint64_t>(),
                                   streams.at(index + 1).get<std::uint32_t>()});
     }
+    if (auto const found = value.find("lifetime"); found != value.end()) {
+        record.lifetime = std::chrono::milliseconds{found->get<std::int64_t>()};
+    }
     return record;
 }
 
@@ -523,9 +526,16 @@
         streams.push_back(stream.id);
         streams.push_back(stream.release);
     }
-    return to_bytes(
-        {{"releases", list_to_json(record.releases, release_to_json)},
-         {"streams", std::move(streams)}});
+    json encoded = {
+        {"releases", list_to_json(record.releases, release_to_json)},
+        {"streams", std::move(streams)}};
+    if (record.lifetime) {
+        encoded["lifetime"] =
+            std::chrono::duration_cast<std::chrono::milliseconds>(
+                *record.lifetime)
+                .count();
+    }
+    return to_bytes(encoded);
 }
 
 result<dispatch::stream_origin_record>
--- a/tests/libdispatch/stream_origins_test.cpp
+++ b/tests/libdispatch/stream_origins_test.cpp
@@ -6,6 +6,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
+#include <array>
 #include <map>
 #include <memory>
 #include <random>
@@ -38,6 +39,7 @@
     bool taken_back = false;    ///< A release is replaced by the one before.
     bool third = false;         ///< A third release comes while two serve.
     bool brief = false;         ///< Releases come every 11 s and go after 2 s.
+    bool reconfigured = false;  ///< The lifetime changes every 5 s.
     std::uint32_t seed = 1;
 };
 
@@ -85,6 +87,8 @@
         std::size_t log_read_to = 0;
         std::uint64_t written = 0;
         bool history_read = false;
+        duration lifetime = ::lifetime; ///< Under the configuration it knows.
+        time_point reconfigured_at;
     };
     struct broken_stream
     {
@@ -92,6 +96,9 @@
         std::string version;
         time_point began_at;
         time_point taken_up_at;
+        duration longest;   ///< Time limit of its caller.
+        std::size_t daemon; ///< The one that began it.
+        time_point up_from; ///< Start of that daemon.
     };
 
     int draw(int below)
@@ -103,11 +110,32 @@
     {
         daemon = {};
         daemon.origins = std::make_unique<stream_origins>(from);
-        daemon.origins->set_lifetime(lifetime);
+        daemon.lifetime = configured_lifetime(from);
+        daemon.origins->set_lifetime(daemon.lifetime, from);
+        daemon.reconfigured_at = from;
         daemon.up_from = from;
         daemon.log_read_to = listed_log_.size();
     }
 
+    /// \return twice the time limit of streams in the newest configuration
+    duration configured_lifetime(time_point at) const
+    {
+        constexpr std::array<duration, 4> series{14s, 10s, 10s, 30s};
+        auto const change = static_cast<std::size_t>((at - start) / 5s);
+        return played_.reconfigured ? series[change % series.size()] : lifetime;
+    }
+
+    void configure(daemon_state& daemon)
+    {
+        auto const wanted = configured_lifetime(now_);
+        if (wanted == daemon.lifetime) {
+            daemon.reconfigured_at = now_ + draw(20) * step;
+        } else if (now_ >= daemon.reconfigured_at) {
+            daemon.lifetime = wanted;
+            daemon.origins->set_lifetime(wanted, now_);
+        }
+    }
+
     void change_releases()
     {
         auto const second = (now_ - start) / 1s;
@@ -123,6 +151,9 @@
         if (second >= 80) {
             next = {played_.taken_back ? "a" : "b"};
         }
+        if (played_.reconfigured) {
+            next = successors(second);
+        }
         if (played_.brief && second % 11 >= 9) {
             next.push_back("brief-" + std::to_string(second / 11));
         }
@@ -133,6 +164,17 @@
         serving_ = next;
     }
 
+    /// Each release is replaced by the next one every 40 s.
+    static std::vector<std::string> successors(std::int64_t second)
+    {
+        auto const number = second / 40;
+        std::vector<std::string> next{"r" + std::to_string(number)};
+        if (second % 40 >= 37) {
+            next.push_back("r" + std::to_string(number + 1));
+        }
+        return next;
+    }
+
     void disrupt()
     {
         auto const elapsed = (now_ - start) / step;
@@ -198,6 +240,7 @@
                 read_list(daemon);
                 daemon.list_delay = now_ + draw(max_list_lag / step) * step;
             }
+            configure(daemon);
         }
         for (auto const& version : daemon.list) {
             origins.on_listed({"s", version}, now_);
@@ -254,6 +297,8 @@
         if (daemon == nullptr) {
             return;
         }
+        auto const time_limit =
+            played_.reconfigured ? daemon->lifetime / 2 : longest_stream;
         // A server that has left does not answer, whatever the list says.
         std::vector<std::string> usable;
         std::ranges::copy_if(daemon->list, std::back_inserter(usable),
@@ -271,7 +316,11 @@
         if (draw(2) == 0) {
             daemon->origins->on_ended(id, draw(2) == 0, now_);
         }
-        broken_.push_back({id, version, now_, now_ + 1s + draw(80) * step});
+        auto const most_steps = (time_limit - 3s) / step;
+        broken_.push_back(
+            {id, version, now_,
+             now_ + 1s + draw(static_cast<int>(most_steps)) * step, time_limit,
+             static_cast<std::size_t>(daemon - &daemons_[0]), daemon->up_from});
     }
 
     bool is_calm(daemon_state const& daemon) const
@@ -286,14 +335,24 @@
             if (now_ < stream.taken_up_at) {
                 return false;
             }
+            end(stream);
             auto* const daemon = pick();
-            if (daemon != nullptr && now_ - stream.began_at < longest_stream) {
+            if (daemon != nullptr && now_ - stream.began_at < stream.longest) {
                 take_up(*daemon, stream);
             }
             return true;
         });
     }
 
+    /// The daemon that began a stream notices that it has broken off.
+    void end(broken_stream const& stream)
+    {
+        auto& daemon = daemons_[stream.daemon];
+        if (daemon.up_from == stream.up_from) {
+            daemon.origins->on_ended(stream.id, false, now_);
+        }
+    }
+
     void take_up(daemon_state& daemon, broken_stream const& stream)
     {
         auto const current = reaches_store(daemon);
@@ -358,6 +417,24 @@
     }
 }
 
+// A stream was taken for one of the release that serves now, as the
+// configuration had been changed to shorter time limits since it began.
+BOOST_AUTO_TEST_CASE(no_stream_is_joined_while_time_limits_change)
+{
+    for (std::size_t const daemons : {1, 5, 30}) {
+        check({.daemons = daemons, .third = true, .reconfigured = true});
+        check({.daemons = daemons,
+               .kills = true,
+               .taken_back = true,
+               .reconfigured = true});
+        check({.daemons = daemons,
+               .kill_all = true,
+               .brief = true,
+               .reconfigured = true});
+    }
+    check({.daemons = 118, .kill_all = true, .reconfigured = true});
+}
+
 BOOST_AUTO_TEST_CASE(no_stream_is_joined_by_several_disruptions_at_once)
 {
     for (std::size_t const daemons : {5, 30}) {
@@ -396,7 +473,7 @@
 {
     stream_origins origins{start};
     origins.on_first_start();
-    origins.set_lifetime(lifetime);
+    origins.set_lifetime(lifetime, start);
     origins.on_listed(older, start);
     origins.on_listed(newer, start + 1s);
     origins.expire(start + lifetime);
@@ -406,6 +483,68 @@
     BOOST_TEST(!origins.is_mixed("s", start + lifetime + 1s));
 }
 
+// The stream outlasted the lifetime of a configuration that came after it, and
+// its own release was forgotten while it ran.
+BOOST_AUTO_TEST_CASE(a_running_stream_keeps_its_release_and_its_lifetime)
+{
+    stream_origins origins{start};
+    origins.on_first_start();
+    origins.set_lifetime(lifetime, start);
+    origins.on_listed(older, start);
+    origins.on_begun(7, older, start);
+    origins.set_lifetime(10s, start + 1s);
+    origins.set_lifetime(2s, start + 2s);
+    auto now = start + 1s;
+    for (; now < start + 60s; now += step) {
+        origins.on_listed(newer, now);
+        origins.expire(now);
+        BOOST_REQUIRE(origins.is_mixed("s", now));
+        BOOST_REQUIRE(origins.mixed_releases(now).size() == 2U);
+    }
+    origins.on_ended(7, false, now);
+    origins.expire(now);
+    BOOST_TEST((origins.find(7, "s", true, now).release == older));
+    now += 3s;
+    origins.on_listed(newer, now);
+    origins.expire(now);
+    BOOST_TEST(origins.stream_count() == 0U);
+    BOOST_TEST(!origins.is_mixed("s", now));
+}
+
+// Another daemon began the stream and was killed, and a daemon that started
+// afterwards knows only the shorter limit of the configuration in force.
+BOOST_AUTO_TEST_CASE(a_record_keeps_the_lifetime_that_its_writer_knew)
+{
+    stream_origins writer{start};
+    writer.on_first_start();
+    writer.set_lifetime(lifetime, start);
+    writer.on_listed(older, start);
+    writer.on_listed(newer, start);
+    writer.set_lifetime(2s, start + 1s);
+    stream_origins reader{start + 2s};
+    reader.set_lifetime(2s, start + 2s);
+    reader.merge_history({writer.own_record(start + 2s)}, start + 2s);
+    auto const later = start + 2s + lifetime;
+    reader.expire(later);
+    BOOST_TEST(reader.is_mixed("s", later));
+    reader.expire(later + 1s);
+    BOOST_TEST(!reader.is_mixed("s", later + 1s));
+}
+
+// A series of changes must not let the memory grow.
+BOOST_AUTO_TEST_CASE(lifetimes_of_many_configurations_are_bounded)
+{
+    lifetime_history lifetimes;
+    for (int change = 0; change < 1000; ++change) {
+        auto const now = start + change * 1ms;
+        lifetimes.set(20s - change * 1ms, now);
+        BOOST_REQUIRE(lifetimes.since(now) >= 20s - change * 1ms);
+        BOOST_REQUIRE(lifetimes.since(start) == 20s);
+    }
+    lifetimes.expire(start + 60s);
+    BOOST_TEST((lifetimes.longest() == 20s - 999ms));
+}
+
 // A malformed record must not harm the others.
 BOOST_AUTO_TEST_CASE(a_record_with_an_unknown_release_is_ignored)
 {
