--- a/src/libduty/include/medlarstall/duty/lease_policy.hpp
+++ b/src/libduty/include/medlarstall/duty/lease_policy.hpp
@@ -162,7 +162,6 @@
     [[nodiscard]] std::optional<time_point> states_lost_until() const;
     [[nodiscard]] duration place_delay() const;
     [[nodiscard]] fencing_token next_token() const;
-    [[nodiscard]] fencing_token lost_tokens() const;
     [[nodiscard]] lease_action begin_read(time_point now);
     [[nodiscard]] lease_action begin_append(lease_record record,
                                             bool is_renewal, time_point now);
--- a/src/libduty/src/lease_policy.cpp
+++ b/src/libduty/src/lease_policy.cpp
@@ -12,18 +12,27 @@
 /// What was heard longer ago is neither believed nor passed on. A wrong notice
 /// thus disappears, as its age grows with each daemon that passes it on.
 constexpr std::chrono::minutes max_notice_age{1};
-/// Tokens that peers tell may be no higher, so that tokens never run out.
+/// Tokens that peers tell may be no higher, so that tokens never run out. Each
+/// JSON number up to here is exact.
 constexpr fencing_token max_told_token = fencing_token{1} << 53U;
-/// Added to the token after the store was restored from an older copy, which
-/// may lack the records of that many holders.
-constexpr fencing_token restore_step = 1'000'000;
+/// Tokens of each era of the store. A new holder uses up one of them, or as
+/// many as the greatest step.
+constexpr fencing_token tokens_per_era = fencing_token{1} << 32U;
+constexpr std::uint64_t first_era = 1;
+/// Later eras are implausible, and share the tokens of the last one.
+constexpr std::uint64_t max_restores = max_told_token / tokens_per_era - 1;
 constexpr fencing_token max_token_step = 1'000'000;
-/// Bounds the tokens that are left out if the era of the store is implausible.
-constexpr std::uint64_t max_restores = 1'000'000;
 /// Writes without a response that are remembered. Older ones are not
 /// recognised, which costs a new token if one of them is executed.
 constexpr std::size_t max_open_writes = 64;
 
+/// \return highest token that holders of earlier eras may have used
+fencing_token tokens_before(std::uint64_t era)
+{
+    auto const restores = std::max(era, first_era) - first_era;
+    return tokens_per_era * std::min(restores, max_restores);
+}
+
 } // namespace
 
 char const* name_of(loss_reason reason)
@@ -385,27 +394,19 @@
                     settings_.place_delay * static_cast<int>(place_));
 }
 
+/// A restored store may have lost any number of holders, and may be restored
+/// from the same copy again and again. Nothing that a record states bounds the
+/// tokens that were used before. Hence all tokens of an era are higher than
+/// those of earlier ones. Within an era no record is lost.
 fencing_token lease_policy::next_token() const
 {
     auto const& record = topic_->record;
-    // Each token is used in one append at least, so that no token is higher
-    // than the end of the partition, but for those after a restore.
-    auto const before =
-        std::max(record ? record->token : topic_->end, highest_token_);
-    return before + token_step_ + lost_tokens();
-}
-
-/// \return number of tokens that may have been used and are lost with the
-///     records of an earlier era
-fencing_token lease_policy::lost_tokens() const
-{
-    if (topic_->record) {
-        return is_restored() ? restore_step : 0;
-    }
-    // Nothing tells after which token the copy was made. The eras differ.
-    constexpr std::uint64_t first_era = 1;
-    auto const restores = std::max(topic_->era, first_era) - first_era;
-    return restore_step * std::min(restores, max_restores);
+    auto const before_era = tokens_before(topic_->era);
+    // Each token is used in one append at least, so that no token of an era
+    // exceeds the end of the partition but by greater steps.
+    auto const before = std::max(
+        record ? record->token : before_era + topic_->end, highest_token_);
+    return std::max(before, before_era) + token_step_;
 }
 
 /// \return true if the record was written before the store was restored from
--- a/tests/libgateway/duty_simulation.cpp
+++ b/tests/libgateway/duty_simulation.cpp
@@ -512,6 +512,9 @@
     case duty_fault::store_restored:
         restore_store();
         break;
+    case duty_fault::store_restored_again:
+        restore_store_again();
+        break;
     case duty_fault::all_killed:
         for (auto const& each : machines_) {
             each->runs = false;
@@ -546,8 +549,14 @@
     while (!copies_.empty() && copies_.back().from > at) {
         copies_.pop_back();
     }
-    lease_ = copies_.empty() ? std::nullopt : copies_.back().lease;
-    end_ = copies_.empty() ? 0 : copies_.back().end;
+    restored_ = copies_.empty() ? store_copy{} : copies_.back();
+    restore_store_again();
+}
+
+void duty_simulation::restore_store_again()
+{
+    lease_ = restored_.lease;
+    end_ = restored_.end;
     ++era_;
 }
 
--- a/tests/libgateway/duty_simulation.hpp
+++ b/tests/libgateway/duty_simulation.hpp
@@ -36,8 +36,9 @@
     calls_late, ///< Calls are executed seconds later.
     all_killed,
     wall_clocks_moved,
-    store_restored, ///< From a copy that is some seconds old.
-    count           ///< Number of the faults above.
+    store_restored,       ///< From a copy that is some seconds old.
+    store_restored_again, ///< From the copy of the last time.
+    count                 ///< Number of the faults above.
 };
 
 /// A duty whose state is a number that grows. Each number is reported when it
@@ -149,7 +150,7 @@
     {
         medlarstall::time_point from;
         std::optional<std::string> lease;
-        std::uint64_t end;
+        std::uint64_t end = 0;
     };
     struct event
     {
@@ -172,6 +173,7 @@
     void end_fault(duty_fault what, std::size_t target);
     void keep_copy();
     void restore_store();
+    void restore_store_again();
     void start_read(std::size_t index, medlarstall::gateway::read_handler done);
     void start_append(std::size_t index,
                       medlarstall::gateway::record const& item,
@@ -206,6 +208,7 @@
     std::uint64_t end_ = 0;
     std::uint64_t era_ = 1;
     std::deque<store_copy> copies_; ///< Of the last seconds, oldest first.
+    store_copy restored_;           ///< The one that was used last.
     std::uint64_t stored_by_any_ = 0;
     std::deque<call> recent_calls_;
     std::map<medlarstall::duty::fencing_token, std::size_t> token_owners_;
--- a/tests/libgateway/duty_simulation_test.cpp
+++ b/tests/libgateway/duty_simulation_test.cpp
@@ -143,6 +143,36 @@
     check_take_over(duty_fault::cut_off_from_platform, 5, 10s);
 }
 
+// Guards against a token that is used again, or that is lower than earlier
+// ones: each restore brings the same record back, and after a kill of all
+// daemons nobody remembers what followed on it.
+BOOST_AUTO_TEST_CASE(tokens_rise_over_restores_of_one_copy_and_kills)
+{
+    for (auto const daemons : {1U, 2U, 3U, 33U}) {
+        for (std::uint32_t seed = 1; seed <= 6; ++seed) {
+            BOOST_TEST_CONTEXT(daemons << " daemons, seed " << seed)
+            {
+                duty_simulation fleet{daemons, seed % 2 == 0, seed};
+                fleet.run_for(12s);
+                fleet.begin_fault(duty_fault::store_restored, 0, 0ms);
+                for (int restores = 0; restores < 4; ++restores) {
+                    fleet.run_for(15s);
+                    auto const holder = fleet.active_machine();
+                    BOOST_REQUIRE(holder.has_value());
+                    fleet.begin_fault(duty_fault::all_killed, 0, 200ms);
+                    fleet.begin_fault(duty_fault::store_restored_again, 0, 0ms);
+                    fleet.run_for(250ms);
+                    fleet.begin_fault(duty_fault::killed, *holder,
+                                      restores % 2 == 0 ? 9000ms : 200ms);
+                }
+                fleet.run_for(15s);
+                check_rules(fleet);
+                BOOST_TEST(fleet.active_machine().has_value());
+            }
+        }
+    }
+}
+
 // Guards against a holder whose calls are all rejected because the platform has
 // seen higher tokens than the store holds.
 BOOST_AUTO_TEST_CASE(a_fenced_holder_finds_a_higher_token)
