--- a/src/libdispatch/include/medlarstall/dispatch/stream_origins.hpp
+++ b/src/libdispatch/include/medlarstall/dispatch/stream_origins.hpp
@@ -51,6 +51,11 @@
     /// earlier configuration. Empty if not known: a daemon of an older version
     /// has written the record.
     std::optional<duration> lifetime = std::nullopt;
+    /// Era of the store that its writer knew; empty if not known.
+    std::optional<std::uint64_t> era = std::nullopt;
+    /// Whether the writer knew, in that era, all releases that may have begun
+    /// streams. A daemon of an older version does not say so.
+    bool is_whole = false;
 };
 
 /// How a daemon knows, or does not know, which release began a stream.
@@ -94,6 +99,20 @@
     /// Called when no daemon of the fleet has run before this one started.
     void on_first_start() { first_start_ = true; }
 
+    /// Called repeatedly with the era of the store as last known. In a new era
+    /// the list may lack backend servers until they have written their entries
+    /// again.
+    /// \param era number that increases when the store is restored
+    /// \param store_answers false if no daemon gets answers from it, so that
+    ///     backend servers cannot write, either
+    /// \param now current time
+    void on_era(std::uint64_t era, bool store_answers, time_point now);
+
+    /// \param now current time
+    /// \return true if the list of backend servers holds all that are running:
+    ///     the store was never restored, or long enough ago
+    [[nodiscard]] bool list_is_settled(time_point now) const;
+
     /// Called when releases may have begun streams that this daemon has not
     /// noticed. Until merge_history() or for as long as streams can be taken
     /// up, it then does not know all releases.
@@ -111,14 +130,18 @@
     void on_told(software_release const& release, time_point now);
 
     /// Adds the records of all daemons, also of earlier runs, as they were
-    /// when this daemon started.
+    /// when this daemon started. The records of a restored store may lack
+    /// releases, unless a daemon has written one since that knew them all.
     /// \param records the records
+    /// \param era era of the store in which they were read
     /// \param now current time
-    void merge_history(std::vector<stream_origin_record> const& records,
-                       time_point now);
+    /// \return true if they name all releases that may have begun streams
+    bool merge_history(std::vector<stream_origin_record> const& records,
+                       std::uint64_t era, time_point now);
 
-    /// Adds the record that an earlier run of this daemon has published. It is
-    /// published again, as the record of this run replaces it.
+    /// Adds the streams of the record that an earlier run of this daemon has
+    /// published. They are published again, as the record of this run replaces
+    /// it.
     /// \param record the record
     /// \param now current time
     void merge_earlier_run(stream_origin_record const& record, time_point now);
@@ -231,6 +254,8 @@
     /// one has not seen.
     bool knows_all_releases(service_releases const& service,
                             time_point now) const;
+    /// Whether it is known which releases served before the last start.
+    bool knows_history(time_point now) const;
     /// Whether what was last noticed at a time cannot matter any more.
     bool is_old(time_point at, time_point now) const;
     release_times& touch(software_release const& release, time_point now);
@@ -238,6 +263,12 @@
     time_point history_starts_; ///< Releases have been noticed since then.
     lifetime_history lifetimes_;
     bool first_start_ = false;
+    bool history_known_ = false; ///< Read from records that name all releases.
+    std::optional<std::uint64_t> era_; ///< Of the store; empty before a read.
+    /// When this daemon knew of the era first, or could not read last.
+    time_point era_seen_at_;
+    bool era_settled_ = false;     ///< Entries have been written again.
+    bool published_whole_ = false; ///< As in own_record(), at the last look.
     std::map<std::string, service_releases, std::less<>> services_;
     std::map<std::uint64_t, known_stream> streams_;
     std::map<std::string, told_streams> unidentified_; ///< By daemon.
--- a/src/libdispatch/src/stream_origins.cpp
+++ b/src/libdispatch/src/stream_origins.cpp
@@ -1,6 +1,7 @@
 #include <medlarstall/dispatch/stream_origins.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace medlarstall::dispatch {
 
@@ -10,6 +11,11 @@
 constexpr std::size_t max_published_streams = 16000;
 /// A release counts as listed for this long after it was last seen in the list.
 constexpr std::chrono::seconds listed_lifetime{2};
+/// Era of a store that was never restored.
+constexpr std::uint64_t first_era = 1;
+/// After a restore of the store, running backend servers have written their
+/// entries again within about two seconds.
+constexpr std::chrono::seconds max_rewrite_time{3};
 
 } // namespace
 
@@ -40,9 +46,29 @@
     return position->second;
 }
 
+void stream_origins::on_era(std::uint64_t era, bool store_answers,
+                            time_point now)
+{
+    if (era_ && era <= *era_) {
+        era_settled_ = list_is_settled(now);
+        era_seen_at_ = store_answers ? era_seen_at_ : now;
+        return;
+    }
+    revision_ += era_ ? 1 : 0; // Records of an earlier era tell less.
+    era_ = era;
+    era_seen_at_ = now;
+    era_settled_ = era <= first_era;
+}
+
+bool stream_origins::list_is_settled(time_point now) const
+{
+    return era_ && (era_settled_ || now - era_seen_at_ >= max_rewrite_time);
+}
+
 void stream_origins::on_history_lost(time_point now)
 {
     first_start_ = false;
+    history_known_ = false;
     history_starts_ = now;
     for (auto& [name, service] : services_) {
         service.history_known = false;
@@ -59,25 +85,36 @@
     touch(release, now);
 }
 
-void stream_origins::merge_history(
-    std::vector<stream_origin_record> const& records, time_point now)
+bool stream_origins::merge_history(
+    std::vector<stream_origin_record> const& records, std::uint64_t era,
+    time_point now)
 {
+    on_era(era, true, now);
+    auto const is_confirmed =
+        std::ranges::any_of(records, [era](stream_origin_record const& record) {
+            return record.is_whole && record.era == era;
+        });
+    auto const is_whole = era == era_ && (era <= first_era || is_confirmed);
+    history_known_ = history_known_ || is_whole;
+    era_settled_ = era_settled_ || is_whole;
     for (auto const& record : records) {
         if (record.lifetime) {
             lifetimes_.add_earlier(*record.lifetime, now);
         }
         for (auto const& release : record.releases) {
             touch(release, now);
-            services_[release.service].history_known = true;
+            auto& service = services_[release.service];
+            service.history_known = service.history_known || is_whole;
         }
     }
     merge_streams(records, now);
+    return is_whole;
 }
 
 void stream_origins::merge_earlier_run(stream_origin_record const& record,
                                        time_point now)
 {
-    merge_history({record}, now);
+    merge_streams({record}, now);
     for (auto const& stream : record.streams) {
         auto const found = streams_.find(stream.id);
         if (found != streams_.end()) {
@@ -162,6 +199,11 @@
     return now - at > lifetimes_.since(at);
 }
 
+bool stream_origins::knows_history(time_point now) const
+{
+    return first_start_ || history_known_ || is_old(history_starts_, now);
+}
+
 bool stream_origins::knows_all_releases(service_releases const& service,
                                         time_point now) const
 {
@@ -228,6 +270,8 @@
 {
     stream_origin_record record;
     record.lifetime = lifetimes_.longest();
+    record.era = era_;
+    record.is_whole = list_is_settled(now) && knows_history(now);
     std::map<software_release, std::uint32_t> index;
     for (auto const& [name, service] : services_) {
         for (auto const& [version, times] : service.versions) {
@@ -254,6 +298,11 @@
 void stream_origins::expire(time_point now)
 {
     revision_ += lifetimes_.expire(now) ? 1 : 0;
+    auto const is_whole = list_is_settled(now) && knows_history(now);
+    if (std::exchange(published_whole_, is_whole) != is_whole && era_ &&
+        *era_ > first_era) {
+        ++revision_; // Daemons that start depend on it.
+    }
     std::erase_if(streams_, [&](auto const& item) {
         return item.second.running == 0 && is_old(item.second.touched_at, now);
     });
--- a/src/libgateway/include/medlarstall/gateway/gateway.hpp
+++ b/src/libgateway/include/medlarstall/gateway/gateway.hpp
@@ -336,6 +336,7 @@
     void report_held_losses(time_point now);
     bool list_is_current(shared_read::number asked) const;
     bool store_is_away() const;
+    void note_era(std::uint64_t era, time_point now);
     duration origins_read_interval() const;
     void refresh_origins(std::string const& service);
     void read_list(time_point now);
@@ -411,6 +412,8 @@
         bool writing = false;
         /// Records of the time that this daemon has not seen itself.
         bool history_read = false;
+        /// They name all releases that may have begun streams.
+        bool history_whole = false;
         /// Reads of records up to this one began before the history was lost.
         shared_read::number history_lost_after = 0;
         bool urgent = false; ///< A stream has broken off.
--- a/src/libgateway/src/gateway.cpp
+++ b/src/libgateway/src/gateway.cpp
@@ -230,6 +230,7 @@
     if (settings_.first_start) {
         origins_.on_first_start();
         origins_exchange_.history_read = true;
+        origins_exchange_.history_whole = true;
     }
     schedule_tick();
     return success();
--- a/src/libgateway/src/gateway_ages.cpp
+++ b/src/libgateway/src/gateway_ages.cpp
@@ -27,6 +27,7 @@
     auto const has_grown = age_of(which).on_own_read(
         {settings_.name, end, as_of}, follower_of(which).position());
     read_to_announce_ = true;
+    note_era(end.era, monotonic_clock::now());
     if (has_grown && which == record_topic::backend_servers &&
         servers_follower_->significant_position() == end) {
         send_peer_update(monotonic_clock::now(), true);
--- a/src/libgateway/src/gateway_origins.cpp
+++ b/src/libgateway/src/gateway_origins.cpp
@@ -39,6 +39,7 @@
 bool gateway::list_is_current(shared_read::number asked) const
 {
     return origins_exchange_.history_read &&
+           origins_.list_is_settled(monotonic_clock::now()) &&
            origins_exchange_.list_reads.succeeded_after(asked);
 }
 
@@ -73,6 +74,13 @@
     }
 }
 
+/// Notes the era of the store: what is read may lack what was written after the
+/// copy that the store was restored from.
+void gateway::note_era(std::uint64_t era, time_point now)
+{
+    origins_.on_era(era, servers_age_.store_answers(now), now);
+}
+
 /// Reads the list of backend servers for the requests that wait, unless a read
 /// began just now.
 void gateway::read_list(time_point now)
@@ -120,6 +128,7 @@
 {
     origins_.on_history_lost(now);
     origins_exchange_.history_read = false;
+    origins_exchange_.history_whole = false;
     origins_exchange_.history_lost_after =
         origins_exchange_.record_reads.last_begun();
     log_entry{log_, log_category::state_change, "release_history"}
@@ -129,6 +138,9 @@
 
 void gateway::update_origins(time_point now)
 {
+    if (servers_follower_->has_read()) {
+        note_era(servers_follower_->position().era, now);
+    }
     observe_releases(now);
     origins_.expire(now);
     if (!origins_exchange_.history_read) {
@@ -172,7 +184,7 @@
     auto& exchange = origins_exchange_;
     if (auto const* const page = std::get_if<record_page>(&outcome)) {
         exchange.record_reads.on_success(number);
-        merge_origins(*page, !exchange.history_read &&
+        merge_origins(*page, !exchange.history_whole &&
                                  number > exchange.history_lost_after);
     } else {
         exchange.record_reads.on_failure(number);
@@ -193,20 +205,23 @@
                 .with("reason", error_of(record).message);
             continue;
         }
-        if (is_history && item.key == own) {
+        if (!origins_exchange_.history_read && item.key == own) {
             origins_.merge_earlier_run(value_of(record), now);
         }
         records.push_back(std::move(value_of(record)));
     }
     if (is_history) {
         origins_exchange_.history_read = true;
-        origins_.merge_history(records, now);
+        origins_exchange_.history_whole =
+            origins_.merge_history(records, page.era, now);
     } else {
         origins_.merge_streams(records, now);
     }
     log_entry{log_, log_category::state_change, "stream_origins"}
         .with("records", records.size())
         .with("history", is_history ? "yes" : "no")
+        .with("era", page.era)
+        .with("whole", origins_exchange_.history_whole ? "yes" : "no")
         .with("known", origins_.stream_count());
 }
 
--- a/src/libgateway/src/gateway_topics.cpp
+++ b/src/libgateway/src/gateway_topics.cpp
@@ -115,6 +115,7 @@
         .with("ledger", name_of(which))
         .with("era", era)
         .with("before", follower_of(which).position().era);
+    note_era(era, now);
     if (which == record_topic::configuration &&
         !configuration_before_restore_) {
         configuration_before_restore_ =
--- a/src/libgateway/src/peer_update.cpp
+++ b/src/libgateway/src/peer_update.cpp
@@ -206,6 +206,10 @@
     if (auto const found = value.find("lifetime"); found != value.end()) {
         record.lifetime = std::chrono::milliseconds{found->get<std::int64_t>()};
     }
+    if (auto const found = value.find("era"); found != value.end()) {
+        record.era = found->get<std::uint64_t>();
+    }
+    record.is_whole = value.value("whole", false);
     return record;
 }
 
@@ -535,6 +539,10 @@
                 *record.lifetime)
                 .count();
     }
+    if (record.era) {
+        encoded["era"] = *record.era;
+        encoded["whole"] = record.is_whole;
+    }
     return to_bytes(encoded);
 }
 
--- a/tests/libdispatch/stream_origins_test.cpp
+++ b/tests/libdispatch/stream_origins_test.cpp
@@ -40,6 +40,8 @@
     bool third = false;         ///< A third release comes while two serve.
     bool brief = false;         ///< Releases come every 11 s and go after 2 s.
     bool reconfigured = false;  ///< The lifetime changes every 5 s.
+    bool drills = false;        ///< The store is restored every 40 s.
+    bool drill_kills = false;   ///< And all daemons are killed meanwhile.
     std::uint32_t seed = 1;
 };
 
@@ -54,7 +56,7 @@
         for (auto& daemon : daemons_) {
             boot(daemon, start);
             daemon.origins->on_first_start();
-            daemon.history_read = true;
+            daemon.history_read = daemon.history_whole = true;
         }
     }
 
@@ -63,6 +65,7 @@
         for (now_ = start; now_ < start + simulated_time; now_ += step) {
             change_releases();
             disrupt();
+            keep_copy();
             for (std::size_t at = 0; at < daemons_.size(); ++at) {
                 act(at);
             }
@@ -87,9 +90,17 @@
         std::size_t log_read_to = 0;
         std::uint64_t written = 0;
         bool history_read = false;
+        bool history_whole = false;
         duration lifetime = ::lifetime; ///< Under the configuration it knows.
         time_point reconfigured_at;
     };
+    /// The store as it was at a time.
+    struct store_copy
+    {
+        time_point at;
+        std::map<std::size_t, stream_origin_record> records;
+        std::vector<std::string> list;
+    };
     struct broken_stream
     {
         std::uint64_t id;
@@ -151,7 +162,7 @@
         if (second >= 80) {
             next = {played_.taken_back ? "a" : "b"};
         }
-        if (played_.reconfigured) {
+        if (played_.reconfigured || played_.drills) {
             next = successors(second);
         }
         if (played_.brief && second % 11 >= 9) {
@@ -164,7 +175,8 @@
         serving_ = next;
     }
 
-    /// Each release is replaced by the next one every 40 s.
+    /// Each release is replaced by the next one every 40 s, a little before
+    /// the store is restored.
     static std::vector<std::string> successors(std::int64_t second)
     {
         auto const number = second / 40;
@@ -189,6 +201,9 @@
                 boot(daemon, now_ + 1s + draw(10) * step);
             }
         }
+        if (played_.drills && each(40s)) {
+            restore_store();
+        }
         for (auto& daemon : daemons_) {
             if (played_.kills && each(7s) && draw(3) == 0) {
                 boot(daemon, now_ + 500ms);
@@ -199,6 +214,61 @@
         }
     }
 
+    void keep_copy()
+    {
+        constexpr auto oldest = 6s;
+        if ((now_ - start) % 1s != duration{0}) {
+            return;
+        }
+        copies_.push_back({now_, store_, listed()});
+        std::erase_if(copies_, [&](store_copy const& copy) {
+            return now_ - copy.at > oldest;
+        });
+    }
+
+    /// The store is away for a moment and comes back from an older copy. Those
+    /// that serve write their entries again within two seconds.
+    void restore_store()
+    {
+        auto const& copy = copies_.at(
+            static_cast<std::size_t>(draw(static_cast<int>(copies_.size()))));
+        store_ = copy.records;
+        restored_list_ = copy.list;
+        ++era_;
+        store_down_until_ = now_ + 500ms;
+        restored_at_ = store_down_until_;
+        relisted_at_.clear();
+        for (auto const& version : serving_) {
+            relisted_at_[version] = restored_at_ + draw(20) * step;
+        }
+        for (auto& daemon : daemons_) {
+            daemon.log_read_to = listed_log_.size();
+            if (played_.drill_kills) {
+                boot(daemon, now_ + 200ms + draw(20) * step);
+            }
+        }
+    }
+
+    /// \return versions that the list holds; those that have left are removed
+    ///     from a restored one after two seconds, too
+    std::vector<std::string> listed() const
+    {
+        if (era_ == 1 || now_ >= restored_at_ + 2s) {
+            return serving_;
+        }
+        auto versions = restored_list_;
+        for (auto const& version : serving_) {
+            auto const again = relisted_at_.find(version);
+            auto const is_back =
+                again == relisted_at_.end() || now_ >= again->second;
+            if (is_back &&
+                std::ranges::find(versions, version) == versions.end()) {
+                versions.push_back(version);
+            }
+        }
+        return versions;
+    }
+
     bool reaches_store(daemon_state const& daemon) const
     {
         return now_ >= store_down_until_ && now_ >= daemon.cut_until;
@@ -211,10 +281,11 @@
             daemon.origins->on_listed({"s", listed_log_[daemon.log_read_to]},
                                       now_);
         }
-        for (auto const& version : serving_) {
+        daemon.list = listed();
+        for (auto const& version : daemon.list) {
             daemon.origins->on_listed({"s", version}, now_);
         }
-        daemon.list = serving_;
+        daemon.origins->on_era(era_, true, now_);
     }
 
     std::vector<stream_origin_record> stored() const
@@ -236,6 +307,7 @@
         auto& origins = *daemon.origins;
         auto const reaches = reaches_store(daemon);
         if (reaches) {
+            origins.on_era(era_, true, now_);
             if (now_ >= daemon.list_delay) {
                 read_list(daemon);
                 daemon.list_delay = now_ + draw(max_list_lag / step) * step;
@@ -257,7 +329,7 @@
             if (store_.contains(at)) {
                 origins.merge_earlier_run(store_.at(at), now_);
             }
-            origins.merge_history(stored(), now_);
+            daemon.history_whole = origins.merge_history(stored(), era_, now_);
         }
         if (origins.revision() != daemon.written &&
             now_ - daemon.written_at >= write_interval) {
@@ -325,8 +397,10 @@
 
     bool is_calm(daemon_state const& daemon) const
     {
+        auto const unknown_for = played_.drill_kills ? lifetime : 5s;
         return !played_.store_outages && !played_.cuts &&
-               now_ - daemon.up_from > 3s;
+               now_ - daemon.up_from > 3s &&
+               (era_ == 1 || now_ - restored_at_ > unknown_for);
     }
 
     void take_up_streams()
@@ -353,15 +427,26 @@
         }
     }
 
+    void read_records(daemon_state& daemon)
+    {
+        if (daemon.history_whole) {
+            daemon.origins->merge_streams(stored(), now_);
+        } else {
+            daemon.history_whole =
+                daemon.origins->merge_history(stored(), era_, now_);
+        }
+    }
+
     void take_up(daemon_state& daemon, broken_stream const& stream)
     {
-        auto const current = reaches_store(daemon);
-        if (current) {
+        if (reaches_store(daemon)) {
             read_list(daemon);
         }
+        auto const current = reaches_store(daemon) && daemon.history_read &&
+                             daemon.origins->list_is_settled(now_);
         auto origin = daemon.origins->find(stream.id, "s", current, now_);
         if (origin.evidence == origin_evidence::none && reaches_store(daemon)) {
-            daemon.origins->merge_streams(stored(), now_);
+            read_records(daemon);
             origin = daemon.origins->find(stream.id, "s", current, now_);
         }
         auto const serves =
@@ -383,6 +468,11 @@
     std::vector<std::string> listed_log_; ///< Each version that was added.
     std::vector<broken_stream> broken_;
     time_point store_down_until_;
+    std::vector<store_copy> copies_;
+    std::vector<std::string> restored_list_;
+    std::map<std::string, time_point> relisted_at_;
+    time_point restored_at_;
+    std::uint64_t era_ = 1;
     std::uint64_t last_id_ = 0;
 };
 
@@ -417,6 +507,29 @@
     }
 }
 
+// A daemon that had just started took the list and the records of a restored
+// store for whole. They lacked a release that came after the copy.
+BOOST_AUTO_TEST_CASE(no_stream_is_joined_by_restores_of_the_store)
+{
+    for (std::size_t const daemons : {1, 5, 30}) {
+        check({.daemons = daemons, .third = true, .drills = true});
+        check({.daemons = daemons, .brief = true, .drills = true});
+        check({.daemons = daemons,
+               .taken_back = true,
+               .third = true,
+               .drills = true,
+               .drill_kills = true});
+        check({.daemons = daemons,
+               .kills = true,
+               .cuts = true,
+               .brief = true,
+               .reconfigured = true,
+               .drills = true,
+               .drill_kills = daemons % 2 == 0});
+    }
+    check({.daemons = 118, .drills = true, .drill_kills = true});
+}
+
 // A stream was taken for one of the release that serves now, as the
 // configuration had been changed to shorter time limits since it began.
 BOOST_AUTO_TEST_CASE(no_stream_is_joined_while_time_limits_change)
@@ -461,7 +574,7 @@
     origins.on_listed(older, start);
     BOOST_TEST(
         (origins.find(1, "s", true, start).evidence == origin_evidence::none));
-    origins.merge_history({{{older}, {}}}, start);
+    origins.merge_history({{{older}, {}}}, 1, start);
     BOOST_TEST((origins.find(1, "s", true, start).evidence ==
                 origin_evidence::only_release));
     BOOST_TEST(
@@ -483,6 +596,58 @@
     BOOST_TEST(!origins.is_mixed("s", start + lifetime + 1s));
 }
 
+// Only a record of the present era tells a daemon that starts that it knows all
+// releases; one of an older version does not tell its era.
+BOOST_AUTO_TEST_CASE(a_daemon_that_starts_after_a_restore_knows_no_only_release)
+{
+    auto const knows = [](std::vector<stream_origin_record> const& records,
+                          duration after) {
+        stream_origins origins{start};
+        origins.set_lifetime(lifetime, start);
+        origins.merge_history(records, 3, start);
+        for (auto now = start; now <= start + after; now += step) {
+            origins.on_era(3, true, now);
+            origins.on_listed(older, now);
+        }
+        return origins
+                   .find(1, "s", origins.list_is_settled(start + after),
+                         start + after)
+                   .evidence == origin_evidence::only_release;
+    };
+    stream_origin_record record{{older}, {}, lifetime};
+    BOOST_TEST(!knows({record}, 5s));
+    record.era = 2;
+    record.is_whole = true;
+    BOOST_TEST(!knows({record}, 5s));
+    BOOST_TEST(knows({record}, lifetime + step));
+    stream_origin_record unknowing{{older}, {}, lifetime, 3, false};
+    BOOST_TEST(!knows({record, unknowing}, 5s));
+    record.era = 3;
+    BOOST_TEST(knows({record, unknowing}, 0s));
+}
+
+// A daemon that runs through a restore remembers what has served. It says so to
+// those that start later once the list has been written again.
+BOOST_AUTO_TEST_CASE(a_daemon_that_runs_through_a_restore_tells_what_it_knows)
+{
+    stream_origins origins{start};
+    origins.on_first_start();
+    origins.on_era(1, true, start);
+    origins.on_listed(older, start);
+    BOOST_TEST(origins.list_is_settled(start));
+    auto const restored_at = start + 10s;
+    origins.on_era(2, true, restored_at);
+    BOOST_TEST(!origins.list_is_settled(restored_at + 2s));
+    origins.on_era(2, false, restored_at + 2s); // It is away again.
+    origins.expire(restored_at + 4s);
+    BOOST_TEST(!origins.own_record(restored_at + 4s).is_whole);
+    auto const revision = origins.revision();
+    origins.expire(restored_at + 5s);
+    BOOST_TEST(origins.own_record(restored_at + 5s).is_whole);
+    BOOST_TEST(origins.own_record(restored_at + 5s).era.value_or(0) == 2U);
+    BOOST_TEST(origins.revision() > revision);
+}
+
 // The stream outlasted the lifetime of a configuration that came after it, and
 // its own release was forgotten while it ran.
 BOOST_AUTO_TEST_CASE(a_running_stream_keeps_its_release_and_its_lifetime)
@@ -523,7 +688,7 @@
     writer.set_lifetime(2s, start + 1s);
     stream_origins reader{start + 2s};
     reader.set_lifetime(2s, start + 2s);
-    reader.merge_history({writer.own_record(start + 2s)}, start + 2s);
+    reader.merge_history({writer.own_record(start + 2s)}, 1, start + 2s);
     auto const later = start + 2s + lifetime;
     reader.expire(later);
     BOOST_TEST(reader.is_mixed("s", later));
--- a/tests/libgateway/gateway_components_test.cpp
+++ b/tests/libgateway/gateway_components_test.cpp
@@ -144,6 +144,35 @@
     BOOST_TEST(!value_of(read).at(0).started_unix_ms);
 }
 
+// Daemons of an older version state neither a lifetime nor an era, and ignore
+// them. What they have written must not count as whole after a restore.
+BOOST_AUTO_TEST_CASE(a_stream_record_of_another_version_is_read_as_unknown)
+{
+    using json = nlohmann::json;
+    using namespace std::chrono_literals;
+    medlarstall::dispatch::stream_origin_record record{
+        {{"s", "v1"}}, {{7, 0}}, 24s, 3, true};
+    auto const read = decode_stream_origins(encode(record));
+    BOOST_REQUIRE(!failed(read));
+    BOOST_TEST((value_of(read).lifetime == record.lifetime));
+    BOOST_TEST(value_of(read).era.value_or(0) == 3U);
+    BOOST_TEST(value_of(read).is_whole);
+    auto sent = json::from_cbor(encode(record));
+    BOOST_TEST((sent.at("releases").at(0) == json::array({"s", "v1"})));
+    BOOST_TEST((sent.at("streams") == json::array({7, 0})));
+    for (auto const* const name : {"lifetime", "era", "whole"}) {
+        sent.erase(name);
+    }
+    std::string bytes;
+    json::to_cbor(sent, bytes);
+    auto const old = decode_stream_origins(bytes);
+    BOOST_REQUIRE(!failed(old));
+    BOOST_TEST(value_of(old).streams.size() == 1U);
+    BOOST_TEST(!value_of(old).lifetime);
+    BOOST_TEST(!value_of(old).era);
+    BOOST_TEST(!value_of(old).is_whole);
+}
+
 RC_BOOST_PROP(any_datagram_is_decoded_or_rejected, (std::string const& bytes))
 {
     std::ignore = decode_peer_update(bytes);
