--- a/src/libduty/include/medlarstall/duty/lease_policy.hpp
+++ b/src/libduty/include/medlarstall/duty/lease_policy.hpp
@@ -6,6 +6,7 @@
 #include <medlarstall/duty/lease_settings.hpp>
 #include <medlarstall/support/time.hpp>
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -44,6 +45,9 @@
     /// the lease, although its notice of that is not accepted any more.
     void on_daemon_left(std::string const& name, time_point now);
 
+    /// The store is of this era, as other topics tell.
+    void on_era(std::uint64_t era) { era_ = std::max(era_, era); }
+
     /// This daemon may have been suspended just before. The lease is no longer
     /// valid until a renewal that begins later is acknowledged.
     void on_suspended(time_point now);
@@ -180,6 +184,7 @@
     /// When the present era of the store was first seen. No state of an earlier
     /// era was stored after that.
     time_point era_seen_at_;
+    std::uint64_t era_ = 0; ///< Newest era of the store that is known of.
     bool topic_has_grown_ = false; ///< A conflict has shown that since.
     std::vector<open_write> open_writes_;
     std::uint64_t writes_ = 0; ///< Number of the last write.
--- a/src/libduty/src/lease_policy.cpp
+++ b/src/libduty/src/lease_policy.cpp
@@ -197,6 +197,7 @@
 
 void lease_policy::note_topic(lease_topic const& topic, time_point now)
 {
+    on_era(topic.era);
     auto const is_new_era = !topic_ || topic_->era != topic.era;
     auto const changed = is_new_era || topic_->end != topic.end;
     if (is_new_era) {
@@ -504,6 +505,8 @@
         return std::nullopt;
     }
     auto told = holding_ ? lease_notice{holding_->token, name_} : *heard_;
+    // Daemons of older versions count on from what they are told.
+    told.token = std::max(told.token, tokens_before(era_));
     auto at = holding_ ? holding_->renewed_at : heard_at_;
     if (!holding_ && heard_->released) {
         at = released_at_;
--- a/src/libgateway/include/medlarstall/gateway/duty_service.hpp
+++ b/src/libgateway/include/medlarstall/gateway/duty_service.hpp
@@ -79,6 +79,9 @@
     /// \param name name of that daemon
     void on_daemon_left(std::string const& name);
 
+    /// \param era era of the store, as other topics tell
+    void on_era(std::uint64_t era) { policy_.on_era(era); }
+
     /// The machine was suspended.
     void on_suspended();
 
--- a/src/libgateway/src/gateway_origins.cpp
+++ b/src/libgateway/src/gateway_origins.cpp
@@ -79,6 +79,9 @@
 void gateway::note_era(std::uint64_t era, time_point now)
 {
     origins_.on_era(era, servers_age_.store_answers(now), now);
+    if (duty_service_) {
+        duty_service_->on_era(era);
+    }
 }
 
 /// Reads the list of backend servers for the requests that wait, unless a read
