--- a/tests/soak/stream_verdict.py
+++ b/tests/soak/stream_verdict.py
@@ -1,5 +1,6 @@
 """Counts what callers of streams saw, and compares it with the bounds."""
 
+import asyncio
 import dataclasses
 
 from harness import StreamClient
@@ -28,6 +29,8 @@
 
     async def attempt(self, address):
         before = len(self.events)
+        if before:
+            await asyncio.sleep(self.site.take_up_pause())
         supported = self.site.supports(self.events[0][1] if before else None)
         outcome = await super().attempt(address)
         self.requests.append(Request(before > 0, supported,
